Publish the interface of the configuration library

Other packages code against configuration.h. The header declares the typed document, the records and transfers of the configuration stream, the merged configuration with its lookups, and the edits of the operator tool. RestatedDocument carries the position that its author had read, so that a reader can tell a restatement of the newest version from a late one.

--- /dev/null
+++ b/include/peridotramp/configuration.h
@@ -0,0 +1,438 @@
+#pragma once
+
+#include "peridotramp/core.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace peridotramp {
+
+using TeamId = Id<struct TeamTag>;
+/// Chosen at random by the operator's tool; a change that is appended twice keeps its id.
+using ChangeId = Id<struct ChangeTag>;
+/// Version of a document: the offset of its change in the stream `configuration`. Invalid before the first change.
+using Version = Offset;
+
+// Documents
+
+/// `[team]`
+struct TeamEntry {
+    TeamId id;
+    std::string name;
+    /// Failure domains in the order of their indices. The list may only grow, at its end.
+    std::vector<std::string> domains;
+    /// Failure domain whose partition 0 restates the document; the first of `domains` unless stated.
+    std::string home;
+
+    bool operator==(const TeamEntry&) const = default;
+};
+
+/// `[workspace NAME]`
+struct WorkspaceEntry {
+    WorkspaceId id;
+    std::string name;
+    RequestRate requestRate;
+    RequestCount requestBurst;
+    TokenRate tokenRate;
+    TokenCount tokenBurst;
+    double weight = 1;
+    /// Name of the `[budget]` of each program of the workspace; empty when programs have the default budget.
+    std::string budget;
+
+    bool operator==(const WorkspaceEntry&) const = default;
+};
+
+/// `[budget NAME]`. Limits of one program.
+struct BudgetEntry {
+    std::string name;
+    TokenCount tokens { 2'000'000 };
+    CallCount calls { 256 };
+    Seconds wall { 3600 };
+    Depth depth { 4 };
+
+    bool operator==(const BudgetEntry&) const = default;
+};
+
+/// `[key NAME]`
+struct KeyEntry {
+    enum class State : std::uint8_t { Granted, Withdrawn, Count };
+
+    KeyId id;
+    std::string name;
+    WorkspaceId workspace;
+    std::string workspaceName;
+    /// SHA-256 of the key, as `sha256sum` prints it for the key's bytes.
+    Digest digest;
+    State state = State::Granted;
+
+    bool operator==(const KeyEntry&) const = default;
+};
+
+/// `[endpoint NAME]`
+struct EndpointEntry {
+    enum class Kind : std::uint8_t { Engine, Service, Count };
+    enum class State : std::uint8_t { In, Leaving, Out, Count };
+    /// Whether the engine refuses orders that carry an old fencing token.
+    enum class Fencing : std::uint8_t { Obeyed, Ignored, Count };
+
+    EndpointId id;
+    std::string name;
+    std::string domain;
+    Address address;
+    Kind kind = Kind::Engine;
+    std::vector<std::string> models;
+    State state = State::In;
+    Fencing fencing = Fencing::Ignored;
+    /// Greatest number of calls at once.
+    std::int64_t slots = 1;
+
+    bool operator==(const EndpointEntry&) const = default;
+};
+
+/// `[call NAME]`
+struct CallEntry {
+    std::string name;
+    bool idempotent = false;
+    /// Names of the service endpoints that serve the call.
+    std::vector<std::string> endpoints;
+    /// Deadline of a call that states none.
+    Milliseconds deadline { 30'000 };
+
+    bool operator==(const CallEntry&) const = default;
+};
+
+/// `[route PATH]`
+struct RouteEntry {
+    std::string path;
+    /// Whether requests need no key.
+    bool open = false;
+
+    bool operator==(const RouteEntry&) const = default;
+};
+
+/// `[policy]`. Weights that the document leaves out come from the preset.
+struct PolicyEntry {
+    enum class Preset : std::uint8_t { Baseline, Kalahari, Longgrass, Count };
+
+    Preset preset = Preset::Baseline;
+    double fairness = 0;
+    double locality = 0;
+    double programOrder = 0;
+
+    /// Returns the preset with its own weights.
+    static PolicyEntry of(Preset preset);
+    bool operator==(const PolicyEntry&) const = default;
+};
+
+/// `[domain NAME]`
+struct DomainEntry {
+    /// In order of severity.
+    enum class State : std::uint8_t { In, Out, Removed, Count };
+
+    std::string name;
+    State state = State::In;
+
+    bool operator==(const DomainEntry&) const = default;
+};
+
+std::string_view toString(KeyEntry::State state);
+std::string_view toString(EndpointEntry::Kind kind);
+std::string_view toString(EndpointEntry::State state);
+std::string_view toString(EndpointEntry::Fencing fencing);
+std::string_view toString(PolicyEntry::Preset preset);
+std::string_view toString(DomainEntry::State state);
+
+/// Returns the handle of a key, which depends on the team and the key's name.
+KeyId keyIdOf(std::string_view team, std::string_view key);
+
+/// A team's document with every section typed, in the order of the text.
+struct Document {
+    TeamEntry team;
+    std::vector<WorkspaceEntry> workspaces;
+    std::vector<BudgetEntry> budgets;
+    std::vector<KeyEntry> keys;
+    std::vector<EndpointEntry> endpoints;
+    std::vector<CallEntry> calls;
+    std::vector<RouteEntry> routes;
+    PolicyEntry policy;
+    /// One entry for each failure domain of the team, in index order.
+    std::vector<DomainEntry> domains;
+
+    bool operator==(const Document&) const = default;
+};
+
+/// The document, or every problem of its text.
+struct ParsedDocument {
+    std::optional<Document> document;
+    std::vector<Problem> problems;
+
+    explicit operator bool() const { return this->document.has_value(); }
+    /// Returns an `InvalidDocument` error that lists the problems.
+    Error error() const;
+};
+
+/// Parses a team's document. Reports all problems of syntax, types, ranges, names and references at once.
+ParsedDocument parseDocument(const std::string& text);
+
+// Records and state
+
+/// A change of a team's document, as operators append it to the stream `configuration`.
+struct ConfigurationChange {
+    ChangeId changeId;
+    std::string team;
+    /// Version that the change replaces; invalid for the first document of a team.
+    Version baseVersion;
+    std::string text;
+
+    bool operator==(const ConfigurationChange&) const = default;
+};
+
+/// A document in force, appended again as the same version before its record leaves the log's retention.
+struct RestatedDocument {
+    std::string team;
+    Version version;
+    /// Position up to which the author had read the stream; `version` was in force there.
+    Offset asOf;
+    std::string text;
+
+    bool operator==(const RestatedDocument&) const = default;
+};
+
+using ConfigurationPayload = std::variant<ConfigurationChange, RestatedDocument>;
+
+/// One record of the stream `configuration`.
+struct ConfigurationRecord {
+    Offset offset;
+    ConfigurationPayload payload;
+
+    bool operator==(const ConfigurationRecord&) const = default;
+};
+
+/// All readable records in [`from`, `next`) of the stream, from the log or from a peer.
+struct ConfigurationRead {
+    /// Where the read began. Records from here on are complete unless `first` is greater.
+    Offset from { 0 };
+    /// First offset that the source still has; records below it have left the log's retention.
+    Offset first { 0 };
+    Offset next { 0 };
+    std::vector<ConfigurationRecord> records;
+    /// Time since `next` was the end of the log, as far as the source knows; empty when the read stopped before it.
+    std::optional<Duration> age;
+};
+
+/// Newest document of one team.
+struct SnapshotDocument {
+    std::string team;
+    Version version;
+    ChangeId changeId;
+    std::string text;
+    /// Upper bound for the age of the newest log record with this document; empty when unknown.
+    std::optional<Duration> recordAge;
+    /// Ids of refused changes of this version; repeated records of them stay refused.
+    std::set<ChangeId> refused;
+};
+
+/// The state of the stream at `next`.
+struct ConfigurationSnapshot {
+    Offset next { 0 };
+    std::vector<SnapshotDocument> documents;
+    std::optional<Duration> age;
+};
+
+/// What a node hands to a peer that is behind.
+using ConfigurationTransfer = std::variant<ConfigurationRead, ConfigurationSnapshot>;
+
+/// What became of one change.
+struct ChangeResult {
+    ChangeId changeId;
+    std::string team;
+    Offset offset;
+    /// `None` when the change came into force, otherwise `VersionConflict` or `InvalidDocument` with the remedy.
+    Error error;
+
+    bool isInForce() const { return this->error.kind == ErrorKind::None; }
+};
+
+/// A document in force with its version.
+struct VersionedDocument {
+    Document document;
+    Version version;
+    ChangeId changeId;
+    std::string text;
+};
+
+/// What a key gives access to.
+struct KeyGrant {
+    KeyId key;
+    WorkspaceId workspace;
+    TeamId team;
+    KeyEntry::State state = KeyEntry::State::Granted;
+};
+
+/// Merged documents of all teams. Immutable; pointers stay valid as long as the configuration.
+class Configuration {
+public:
+    using Documents = std::vector<std::shared_ptr<const VersionedDocument>>;
+
+    /// Merges documents. When two of them claim the same name, the entry of the older version is kept.
+    explicit Configuration(Documents documents, Version version = {});
+    Configuration(const Configuration&) = delete;
+    Configuration& operator=(const Configuration&) = delete;
+    ~Configuration();
+
+    /// Offset of the newest change in force.
+    Version version() const;
+    /// Documents in the order of team names.
+    const Documents& documents() const;
+    const VersionedDocument* findTeam(TeamId team) const;
+
+    /// Looks a key up by its digest. Withdrawn keys are found, too; check `state`.
+    const KeyGrant* findKey(const Digest& digest) const;
+    const KeyGrant* findKey(KeyId key) const;
+    const WorkspaceEntry* findWorkspace(WorkspaceId workspace) const;
+    /// Returns the team that declares the workspace; invalid when there is none.
+    TeamId teamOf(WorkspaceId workspace) const;
+    TeamId teamOf(EndpointId endpoint) const;
+    const EndpointEntry* findEndpoint(EndpointId endpoint) const;
+    /// Returns the engines of a team that list the model, in the order of the document.
+    std::span<const EndpointId> enginesFor(TeamId team, ModelId model) const;
+    const CallEntry* findCall(TeamId team, std::string_view call) const;
+    const RouteEntry* findRoute(std::string_view path) const;
+    /// Returns whether requests for `path` need no key.
+    bool isOpen(std::string_view path) const;
+    /// Returns the budget of the workspace's programs, or the default budget.
+    const BudgetEntry& budgetOf(WorkspaceId workspace) const;
+    const BudgetEntry* findBudget(TeamId team, std::string_view budget) const;
+    /// Returns the policy of a team, or the baseline when the team is not known.
+    const PolicyEntry& policyOf(TeamId team) const;
+
+    /// Failure domains in index order; the state is the most severe one that a team states.
+    const std::vector<DomainEntry>& domains() const;
+    /// Returns the failure domain's handle, which is its index; invalid when the name is not known.
+    DomainId domainId(std::string_view name) const;
+    const DomainEntry* findDomain(DomainId domain) const;
+
+private:
+    struct Tables;
+    std::unique_ptr<const Tables> tables;
+};
+
+using ConfigurationPointer = std::shared_ptr<const Configuration>;
+
+/// Applies the records of the stream `configuration` and yields the merged configuration.
+///
+/// A change is in force if its base version is the team's version at its place in the log, its text is valid, and it
+/// claims nothing that another team declares. Equal input gives equal state on every node, by whatever way and in
+/// whatever order it arrives; the version never goes back.
+class ConfigurationState {
+public:
+    struct Limits {
+        /// Text kept for peers that are slightly behind. Peers further behind get a snapshot.
+        ByteCount history { 1 << 20 };
+        /// Reads kept while an earlier one is missing.
+        std::size_t waitingReads = 256;
+        /// Results of changes kept for `resultOf`.
+        std::size_t results = 1024;
+    };
+
+    ConfigurationState();
+    explicit ConfigurationState(Limits limits);
+    ConfigurationState(const ConfigurationState&) = delete;
+    ConfigurationState& operator=(const ConfigurationState&) = delete;
+    ~ConfigurationState();
+
+    /// Applies what is new in a read and returns the results of the changes that were decided.
+    std::vector<ChangeResult> apply(TimePoint now, ConfigurationRead read);
+    /// Applies what a peer sent.
+    std::vector<ChangeResult> import(TimePoint now, ConfigurationTransfer transfer);
+    /// Returns what a peer lacks that has applied the stream up to `next`.
+    ConfigurationTransfer exportSince(TimePoint now, Offset next) const;
+
+    /// Returns the configuration, or `NotReady` before the end of the log or a peer's snapshot was reached, and while
+    /// no document is in force.
+    Result<ConfigurationPointer> snapshot() const;
+    /// Offset of the newest change in force; invalid when there is none.
+    Version version() const;
+    /// Returns the version of a team's document; invalid when there is none.
+    Version versionOf(std::string_view team) const;
+    /// Position up to which the stream has been applied; the next read begins here.
+    Offset next() const;
+    /// Time since the configuration was known to be the newest; empty when it never was.
+    std::optional<Duration> age(TimePoint now) const;
+    /// Returns the result of a recent change; empty when it has not been read or is no longer kept.
+    std::optional<ChangeResult> resultOf(ChangeId change) const;
+    /// Returns the records that must be appended now so that the documents of the teams with home `domain` stay in the
+    /// log.
+    std::vector<RestatedDocument> restatementsDue(TimePoint now, Duration retention, std::string_view domain) const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+/// Returns whether a document must be restated: its newest record is older than half the retention or of unknown age.
+bool isRestatementDue(std::optional<Duration> recordAge, Duration retention);
+
+/// Returns an `InvalidDocument` error when `document` cannot be merged with the other teams' documents or reorders its
+/// team's failure domains. The error names each claim and the team that holds it.
+Status checkMerge(const Configuration& configuration, const Document& document);
+
+// Edits, differences and descriptions
+
+/// Each edit returns a new text that parses and keeps comments and order, or an `InvalidDocument` error.
+Result<std::string> grantKey(
+    const std::string& text, const std::string& key, const std::string& workspace, const Digest& digest);
+Result<std::string> withdrawKey(const std::string& text, const std::string& key);
+Result<std::string> setEndpointState(const std::string& text, const std::string& endpoint, EndpointEntry::State state);
+Result<std::string> setDomainState(const std::string& text, const std::string& domain, DomainEntry::State state);
+
+/// Rates and bursts of a workspace; an empty value stays as it is.
+struct RateEdit {
+    std::optional<RequestRate> requestRate;
+    std::optional<RequestCount> requestBurst;
+    std::optional<TokenRate> tokenRate;
+    std::optional<TokenCount> tokenBurst;
+};
+Result<std::string> setRate(const std::string& text, const std::string& workspace, const RateEdit& rate);
+
+/// One key and value of a description.
+struct DescriptionRow {
+    std::string section;
+    std::string key;
+    std::string value;
+
+    bool operator==(const DescriptionRow&) const = default;
+};
+
+/// Returns every value of a document, defaults included.
+std::vector<DescriptionRow> describe(const Document& document);
+/// Returns the version, the failure domains and, for each team, the version and what it declares.
+std::vector<DescriptionRow> describe(const Configuration& configuration);
+/// Returns rows as a table with aligned columns for people.
+std::string toTable(std::span<const DescriptionRow> rows);
+
+/// One difference between two documents.
+struct DocumentChange {
+    std::string section;
+    std::string key;
+    /// Empty when the value was added.
+    std::optional<std::string> before;
+    /// Empty when the value was removed.
+    std::optional<std::string> after;
+
+    /// Returns for example `[workspace a] request_rate: 5 -> 8`.
+    std::string toString() const;
+    bool operator==(const DocumentChange&) const = default;
+};
+
+/// Returns the differences in the order of the new document, then what was removed.
+std::vector<DocumentChange> diffDocuments(const Document& before, const Document& after);
+
+} // namespace peridotramp
