--- a/include/peridotramp/configuration.h
+++ b/include/peridotramp/configuration.h
@@ -2,10 +2,9 @@
 
 #include "peridotramp/core.h"
 
-#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -230,13 +229,14 @@
 /// Newest document of one team.
 struct SnapshotDocument {
     std::string team;
+    /// Invalid when all changes of the team were refused.
     Version version;
     ChangeId changeId;
     std::string text;
     /// Upper bound for the age of the newest log record with this document; empty when unknown.
     std::optional<Duration> recordAge;
-    /// Ids of refused changes of this version; repeated records of them stay refused.
-    std::set<ChangeId> refused;
+    /// Refused changes and their base versions, which may match later; repeated records of them stay refused.
+    std::map<ChangeId, Version> refused;
 };
 
 /// The state of the stream at `next`.
@@ -336,8 +336,8 @@
     struct Limits {
         /// Text kept for peers that are slightly behind. Peers further behind get a snapshot.
         ByteCount history { 1 << 20 };
-        /// Reads kept while an earlier one is missing.
-        std::size_t waitingReads = 256;
+        /// Text of reads kept while an earlier one is missing. Further reads are dropped and have to be read again.
+        ByteCount waiting { 8 << 20 };
         /// Results of changes kept for `resultOf`.
         std::size_t results = 1024;
     };
@@ -358,12 +358,15 @@
     /// Returns the configuration, or `NotReady` before the end of the log or a peer's snapshot was reached, and while
     /// no document is in force.
     Result<ConfigurationPointer> snapshot() const;
-    /// Offset of the newest change in force; invalid when there is none.
+    /// Version of the configuration that `snapshot` returns; invalid when there is none.
     Version version() const;
     /// Returns the version of a team's document; invalid when there is none.
     Version versionOf(std::string_view team) const;
-    /// Position up to which the stream has been applied; the next read begins here.
+    /// Position at which the next read of the log begins.
     Offset next() const;
+    /// Position up to which records have been applied. A node that is behind a peer, or is not ready, sends it to the
+    /// peer for `exportSince`.
+    Offset applied() const;
     /// Time since the configuration was known to be the newest; empty when it never was.
     std::optional<Duration> age(TimePoint now) const;
     /// Returns the result of a recent change; empty when it has not been read or is no longer kept.
