--- a/include/peridotramp/configuration.h
+++ b/include/peridotramp/configuration.h
@@ -197,8 +197,6 @@
 struct RestatedDocument {
     std::string team;
     Version version;
-    /// Position up to which the author had read the stream; `version` was in force there.
-    Offset asOf;
     std::string text;
 
     bool operator==(const RestatedDocument&) const = default;
--- a/src/decisions/configuration/claims.cpp
+++ b/src/decisions/configuration/claims.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
+#include <unordered_set>
 
 namespace peridotramp {
 
@@ -48,6 +49,13 @@
         this->teamByClaim.emplace(std::move(claim), after.team.name);
 }
 
+bool Claims::covers(const Document& before, const Document& after)
+{
+    const auto held = claimsOf(before);
+    const std::unordered_set<std::string> known(held.begin(), held.end());
+    return std::ranges::all_of(claimsOf(after), [&](const auto& claim) { return known.contains(claim); });
+}
+
 Status Claims::check(const Document& document) const
 {
     std::vector<std::string> taken;
--- a/src/decisions/configuration/claims_p.h
+++ b/src/decisions/configuration/claims_p.h
@@ -12,6 +12,8 @@
 public:
     /// Replaces what the team held with the claims of its new document. A name that another team holds stays there.
     void replace(const Document* before, const Document& after);
+    /// Returns whether `after` claims nothing that `before` did not claim.
+    static bool covers(const Document& before, const Document& after);
     /// Returns an `InvalidDocument` error that lists the claims of `document` that another team holds.
     Status check(const Document& document) const;
 
--- a/src/decisions/configuration/ledger.cpp
+++ b/src/decisions/configuration/ledger.cpp
@@ -23,8 +23,44 @@
             "the change is for team {}, but [team] name = '{}'; make them agree", change.team, document.team.name) };
 }
 
+Error undecidedClaims(const std::string& team)
+{
+    return { ErrorKind::InvalidDocument, Outcome::NotRun,
+        fmt::format("it adds names while the document of team {} is missing from the log; it comes into force if it is "
+                    "restated, otherwise apply it again",
+            team) };
+}
+
 std::optional<TimePoint> later(std::optional<TimePoint> a, std::optional<TimePoint> b) { return std::max(a, b); }
 
+const ConfigurationChange* changeAt(
+    Version version, const std::string& team, std::span<const ConfigurationRecord> records)
+{
+    const auto record = std::ranges::lower_bound(records, version, {}, &ConfigurationRecord::offset);
+    if (record == records.end() || record->offset != version)
+        return nullptr;
+    const auto* change = std::get_if<ConfigurationChange>(&record->payload);
+    // A base that is not older than its change cannot have been in force.
+    const bool isPossible = change != nullptr && change->team == team
+        && (!change->baseVersion.isValid() || change->baseVersion < version);
+    return isPossible ? change : nullptr;
+}
+
+/// Returns the version that a record shows to have been in force: the one that it restates or replaces. Operators name
+/// only versions that they have seen in force.
+Version provedBy(const ConfigurationRecord& record)
+{
+    if (const auto* restated = std::get_if<RestatedDocument>(&record.payload))
+        return restated->version;
+    const auto base = std::get<ConfigurationChange>(record.payload).baseVersion;
+    return base < record.offset ? base : Version {};
+}
+
+const std::string& teamOf(const ConfigurationRecord& record)
+{
+    return std::visit([](const auto& payload) -> const std::string& { return payload.team; }, record.payload);
+}
+
 } // namespace
 
 Configuration::Documents Ledger::documents() const
@@ -54,6 +90,11 @@
         return std::nullopt;
     ChangeResult result { change.changeId, change.team, offset, {} };
     const auto current = this->expectedVersion(change.team);
+    if (const auto proof = this->proofs.find(change.team);
+        proof != this->proofs.end() && proof->second.newest.isValid() && offset <= proof->second.newest) {
+        result.error = this->decideProved(offset, change, proof->second, recordedAt);
+        return result;
+    }
     if (change.baseVersion != current) {
         // A base that is not known yet may match a later version, but this id has been decided now.
         if (isNewer(change.baseVersion, current))
@@ -74,23 +115,34 @@
         return result;
     }
     this->unknownTexts.erase(change.team);
-    team.isProvisional = !this->unknownTexts.empty();
     this->install(team, { std::move(*parsed.document), offset, change.changeId, change.text }, recordedAt);
     return result;
 }
 
+Error Ledger::decideProved(
+    Offset offset, const ConfigurationChange& change, const Proof& proof, std::optional<TimePoint> recordedAt)
+{
+    auto& team = this->teamByName[change.team];
+    if (!proof.chain.contains(offset)) {
+        team.refused.emplace(change.changeId, change.baseVersion);
+        return versionConflict(change, this->expectedVersion(change.team));
+    }
+    auto parsed = parseDocument(change.text);
+    if (!parsed)
+        return parsed.error();
+    this->installFact(team, { std::move(*parsed.document), offset, change.changeId, change.text }, recordedAt);
+    return {};
+}
+
 void Ledger::restate(const RestatedDocument& restated, std::optional<TimePoint> recordedAt)
 {
     auto& team = this->teamByName[restated.team];
     const auto held = team.version();
     if (restated.version == held) {
         team.recordedAt = later(team.recordedAt, recordedAt);
-        // The author had read beyond the document, so it is proved.
-        team.isProvisional = team.isProvisional && !isNewer(restated.asOf, held);
         return;
     }
-    const bool refutesHeld = team.isProvisional && isNewer(restated.asOf, held);
-    if (!isNewer(restated.version, held) && !refutesHeld)
+    if (!isNewer(restated.version, held))
         return;
     auto parsed = parseDocument(restated.text);
     if (parsed && parsed.document->team.name == restated.team)
@@ -101,34 +153,43 @@
 {
     for (const auto& record : records) {
         const auto* restated = std::get_if<RestatedDocument>(&record.payload);
-        if (restated != nullptr && isNewer(gapEnd, restated->version) && restated->version.isValid())
+        if (restated != nullptr && restated->version < gapEnd)
             this->restate(*restated, std::nullopt);
+        const auto version = provedBy(record);
+        const bool isKnown = version < gapEnd || changeAt(version, teamOf(record), records) != nullptr;
+        if (isKnown && isNewer(version, this->proofs[teamOf(record)].newest))
+            this->proofs[teamOf(record)].newest = version;
     }
-    for (const auto& record : records) {
-        const auto* change = std::get_if<ConfigurationChange>(&record.payload);
-        // Operators name only versions that they have seen in force.
-        if (change != nullptr && change->baseVersion < gapEnd
-            && isNewer(change->baseVersion, this->expectedVersion(change->team)))
-            this->unknownTexts[change->team] = change->baseVersion;
+    for (auto& [team, proof] : this->proofs) {
+        auto version = proof.newest;
+        while (version.isValid() && version >= gapEnd) {
+            proof.chain.insert(version);
+            const auto* change = changeAt(version, team, records);
+            version = change == nullptr ? Version {} : change->baseVersion;
+        }
+        if (isNewer(version, this->expectedVersion(team)))
+            this->unknownTexts[team] = version;
     }
     this->rebuildClaims();
 }
 
 void Ledger::endBridge()
 {
+    this->proofs.clear();
     this->unknownTexts.clear();
     this->rebuildClaims();
 }
 
 void Ledger::adopt(TimePoint now, const ConfigurationSnapshot& snapshot)
 {
+    this->proofs.clear();
     this->unknownTexts.clear();
     for (const auto& document : snapshot.documents)
-        this->adoptDocument(now, snapshot.next, document);
+        this->adoptDocument(now, document);
     this->rebuildClaims();
 }
 
-void Ledger::adoptDocument(TimePoint now, Offset asOf, const SnapshotDocument& document)
+void Ledger::adoptDocument(TimePoint now, const SnapshotDocument& document)
 {
     auto& team = this->teamByName[document.team];
     team.refused = document.refused;
@@ -136,16 +197,13 @@
     const auto held = team.version();
     if (document.version == held) {
         team.recordedAt = later(team.recordedAt, recordedAt);
-        team.isProvisional = false;
         return;
     }
-    const bool refutesHeld = team.isProvisional && document.version.isValid() && isNewer(asOf, held);
-    if (!isNewer(document.version, held) && !refutesHeld)
+    if (!isNewer(document.version, held))
         return;
     auto parsed = parseDocument(document.text);
     if (!parsed)
         return;
-    team.isProvisional = false;
     this->install(
         team, { std::move(*parsed.document), document.version, document.changeId, document.text }, recordedAt);
 }
@@ -170,6 +228,13 @@
         if (auto status = checkSameOrder(other.document->document.team, document.team); !status)
             return status;
     }
+    const bool isOtherUnknown = this->unknownTexts.size() > this->unknownTexts.count(document.team.name);
+    const bool isCovered = team.document && !this->unknownTexts.contains(document.team.name)
+        && Claims::covers(team.document->document, document);
+    // If the change were in force, it would be old enough to have been restated: the unknown text was superseded
+    // after it, and every record from before the gap is superseded or restated within half the retention.
+    if (isOtherUnknown && !isCovered)
+        return undecidedClaims(this->unknownTexts.begin()->first);
     return this->claims.check(document);
 }
 
@@ -189,7 +254,6 @@
 
 void Ledger::installFact(Team& team, VersionedDocument document, std::optional<TimePoint> recordedAt)
 {
-    team.isProvisional = false;
     this->unknownTexts.erase(document.document.team.name);
     this->install(team, std::move(document), recordedAt);
     this->rebuildClaims();
--- a/src/decisions/configuration/ledger_p.h
+++ b/src/decisions/configuration/ledger_p.h
@@ -3,6 +3,7 @@
 #include "claims_p.h"
 
 #include <map>
+#include <set>
 #include <span>
 
 namespace peridotramp {
@@ -19,33 +20,40 @@
         /// Lower bound for the time of the newest log record with the document.
         std::optional<TimePoint> recordedAt;
         std::map<ChangeId, Version> refused;
-        /// Whether the document was accepted while another team's document was unknown.
-        bool isProvisional = false;
 
         Version version() const { return this->document ? this->document->version : Version {}; }
     };
 
     const std::map<std::string, Team, std::less<>>& teams() const { return this->teamByName; }
-    /// Returns the documents in force and the greatest version that was ever in force.
     Configuration::Documents documents() const;
+    /// Returns the greatest version that was ever in force.
     Version newest() const { return this->newestVersion; }
 
     /// Applies one record; the records must come in the order of the log. Returns the result of a change, or nothing
     /// for a restatement and for a change that was decided before.
     std::optional<ChangeResult> apply(const ConfigurationRecord& record, std::optional<TimePoint> recordedAt);
-    /// Prepares for `records`, which follow a gap that ends at `gapEnd`: takes up restated documents, and takes the
-    /// bases that changes name as versions that came into force in the gap.
+    /// Prepares for `records`, which follow a gap that ends at `gapEnd`: takes up restated documents, and finds the
+    /// versions that restatements and the bases of later changes show to have been in force.
     void bridge(Offset gapEnd, std::span<const ConfigurationRecord> records);
     /// Ends the exceptions for records after a gap.
     void endBridge();
-    /// Takes over the state that a peer had at position `asOf`.
+    /// Takes over the state of a peer that has applied more records.
     void adopt(TimePoint now, const ConfigurationSnapshot& snapshot);
 
 private:
+    /// Versions of one team that were in force after a gap, up to the newest that is known to have been.
+    struct Proof {
+        Version newest;
+        std::set<Version> chain;
+    };
+
     std::optional<ChangeResult> decide(
         Offset offset, const ConfigurationChange& change, std::optional<TimePoint> recordedAt);
+    /// Decides a change from the versions that later records show to have been in force.
+    Error decideProved(
+        Offset offset, const ConfigurationChange& change, const Proof& proof, std::optional<TimePoint> recordedAt);
     void restate(const RestatedDocument& restated, std::optional<TimePoint> recordedAt);
-    void adoptDocument(TimePoint now, Offset asOf, const SnapshotDocument& document);
+    void adoptDocument(TimePoint now, const SnapshotDocument& document);
     Version expectedVersion(const std::string& team) const;
     Status check(const Team& team, const Document& document) const;
     void install(Team& team, VersionedDocument document, std::optional<TimePoint> recordedAt);
@@ -55,6 +63,7 @@
 
     std::map<std::string, Team, std::less<>> teamByName;
     Claims claims;
+    std::map<std::string, Proof> proofs;
     /// Versions that came into force in a gap and whose text is unknown.
     std::map<std::string, Version> unknownTexts;
     Version newestVersion;
--- a/src/decisions/configuration/state.cpp
+++ b/src/decisions/configuration/state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <ranges>
 
 namespace peridotramp {
 
@@ -141,11 +142,17 @@
         return;
     if (!isAtTail && !this->isWaitingFull())
         return;
-    std::vector<ConfigurationRecord> records;
+    // Reads may overlap.
+    std::map<Offset, ConfigurationRecord> byOffset;
     for (const auto& [from, waiting] : this->waiting) {
-        if (from < end)
-            std::ranges::copy(waiting.read.records, std::back_inserter(records));
+        for (const auto& record : waiting.read.records) {
+            if (record.offset >= *this->gapEnd && record.offset < end)
+                byOffset.emplace(record.offset, record);
+        }
     }
+    std::vector<ConfigurationRecord> records;
+    records.reserve(byOffset.size());
+    std::ranges::copy(byOffset | std::views::values, std::back_inserter(records));
     this->ledger.bridge(*this->gapEnd, records);
     this->isBridging = true;
     this->applied = *this->gapEnd;
@@ -357,7 +364,7 @@
             continue;
         const auto age = team.recordedAt ? std::optional<Duration>(now - *team.recordedAt) : std::nullopt;
         if (isRestatementDue(age, retention))
-            due.push_back({ name, team.document->version, this->impl->applied, team.document->text });
+            due.push_back({ name, team.document->version, team.document->text });
     }
     return due;
 }
--- a/tests/configuration/state.cpp
+++ b/tests/configuration/state.cpp
@@ -119,8 +119,7 @@
 TEST_CASE("restated documents bridge records that expired before a node started")
 {
     ConfigurationState state;
-    const ConfigurationRecord restated { Offset { 12 },
-        RestatedDocument { "b", Version { 3 }, Offset { 12 }, small("b", "v", 3) } };
+    const ConfigurationRecord restated { Offset { 12 }, RestatedDocument { "b", Version { 3 }, small("b", "v", 3) } };
     // The claim of `v` comes before the restated document, yet after the version that it restates.
     const auto results = state.apply(start,
         readOf(0,
@@ -133,6 +132,32 @@
     REQUIRE(rateOf(state, "v") == 4);
 }
 
+TEST_CASE("after a gap, later records show which of two claims came into force")
+{
+    // At offset 10, team c still held `shared` by a document that has left the log; it gives the name up at 11.
+    const auto claim = change(10, 1, "a", Version { 9 }, small("a", "shared"));
+    const auto release = change(11, 2, "c", Version { 5 }, small("c", "own"));
+    SECTION("a later change that replaces the version before the claim")
+    {
+        ConfigurationState state;
+        const auto next = change(12, 3, "a", Version { 9 }, small("a", "w"));
+        const auto last = change(13, 4, "a", Version { 12 }, small("a", "w", 2));
+        state.apply(start, readOf(0, { claim, release, next, last }, true, 10));
+        REQUIRE(state.versionOf("a") == Version { 13 });
+    }
+    SECTION("no later record: the claim counts only once it is restated")
+    {
+        ConfigurationState state;
+        const RestatedDocument other { "c", Version { 11 }, small("c", "own") };
+        state.apply(start, readOf(0, { claim, release, { Offset { 12 }, other } }, true, 10));
+        REQUIRE_FALSE(state.versionOf("a").isValid());
+        REQUIRE(state.versionOf("c") == Version { 11 });
+        const RestatedDocument restated { "a", Version { 10 }, small("a", "shared") };
+        state.apply(start, readOf(13, { { Offset { 13 }, restated } }, true, 10));
+        REQUIRE(state.versionOf("a") == Version { 10 });
+    }
+}
+
 TEST_CASE("a node that was away for longer than the log's retention keeps serving until it has caught up")
 {
     ConfigurationState state;
