Add the runtime library: event loop, timers and HTTP

The peer packages share one event loop with several threads, timers on RuntimeClock, and an HTTP/1.1 server and client over Beast. The server streams responses, bounds headers, bodies and unsent bytes, and reports callers that disconnect. The client reports whether a byte of the request may have reached the peer, which is what a truthful 'not run' needs.

Cause of two crashes met on the way: coroutines started after their owner was released, and g++ 12 destroys aggregate temporaries of co_await expressions twice. The coroutines now take their owner as an argument and such values are variables.

--- /dev/null
+++ b/src/runtime/httpclient.cpp
@@ -0,0 +1,209 @@
+#include "runtime_p.h"
+
+namespace peridotramp {
+
+using IdleStreams = std::map<Address, std::vector<std::unique_ptr<beast::tcp_stream>>>;
+
+struct HttpClient::Impl {
+    Impl(Runtime& runtime, Init init)
+        : context(runtime.internals().context)
+        , init(init)
+    {
+    }
+
+    std::unique_ptr<beast::tcp_stream> takeIdle(const Address& address);
+    void keepIdle(const Address& address, std::unique_ptr<beast::tcp_stream> stream);
+
+    asio::io_context& context;
+    Init init;
+    Sharded<IdleStreams, 4> idle {};
+};
+
+// One call. Everything but `cancelled` is touched on the strand of its stream only.
+struct HttpClient::Call::State {
+    State(std::shared_ptr<Impl> client, Address address, HttpRequest request, Options options, HttpClientHooks hooks)
+        : client(std::move(client))
+        , address(std::move(address))
+        , request(std::move(request))
+        , options(options)
+        , hooks(std::move(hooks))
+    {
+    }
+
+    // Takes its owner as an argument, because it starts after the caller has let go of it.
+    asio::awaitable<void> run(std::shared_ptr<State> self);
+    asio::awaitable<boost::system::error_code> connect();
+    asio::awaitable<boost::system::error_code> exchange();
+    asio::awaitable<boost::system::error_code> readBody(
+        http::response_parser<http::buffer_body>& parser, beast::flat_buffer& buffer);
+    ErrorKind kindOf(const boost::system::error_code& error) const;
+
+    std::shared_ptr<Impl> client;
+    Address address;
+    HttpRequest request;
+    Options options;
+    HttpClientHooks hooks;
+    std::unique_ptr<beast::tcp_stream> stream {};
+    asio::any_io_executor executor {};
+    HttpResult result {};
+    bool keepAlive = false;
+    std::atomic<bool> cancelled = false;
+};
+
+std::unique_ptr<beast::tcp_stream> HttpClient::Impl::takeIdle(const Address& address)
+{
+    return this->idle.with(
+        hashBytes(address.toString()), [&](IdleStreams& streams) -> std::unique_ptr<beast::tcp_stream> {
+            auto& ready = streams[address];
+            while (!ready.empty()) {
+                auto stream = std::move(ready.back());
+                ready.pop_back();
+                // A readable idle connection has been closed by the peer.
+                std::array<char, 1> byte {};
+                boost::system::error_code error;
+                stream->socket().non_blocking(true, error);
+                stream->socket().receive(asio::buffer(byte), asio::socket_base::message_peek, error);
+                if (error == asio::error::would_block)
+                    return stream;
+            }
+            return nullptr;
+        });
+}
+
+void HttpClient::Impl::keepIdle(const Address& address, std::unique_ptr<beast::tcp_stream> stream)
+{
+    this->idle.with(hashBytes(address.toString()), [&](IdleStreams& streams) {
+        auto& ready = streams[address];
+        if (ready.size() < this->init.maxIdleConnections)
+            ready.push_back(std::move(stream));
+    });
+}
+
+ErrorKind HttpClient::Call::State::kindOf(const boost::system::error_code& error) const
+{
+    if (!error)
+        return ErrorKind::None;
+    if (this->cancelled)
+        return ErrorKind::Cancelled;
+    if (error == beast::error::timeout)
+        return ErrorKind::DeadlineExceeded;
+    return isParseError(error) ? ErrorKind::EndpointFailed : ErrorKind::ConnectionFailed;
+}
+
+asio::awaitable<boost::system::error_code> HttpClient::Call::State::connect()
+{
+    boost::system::error_code error;
+    const auto host = asio::ip::make_address(this->address.host, error);
+    if (error)
+        co_return error;
+    this->stream->expires_after(std::min(this->client->init.connectTimeout, this->options.timeout));
+    auto [connectError]
+        = co_await this->stream->async_connect(asio::ip::tcp::endpoint(host, this->address.port), asTuple);
+    if (!connectError)
+        this->stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
+    co_return connectError;
+}
+
+asio::awaitable<boost::system::error_code> HttpClient::Call::State::readBody(
+    http::response_parser<http::buffer_body>& parser, beast::flat_buffer& buffer)
+{
+    std::array<char, 16 * 1024> block {};
+    while (!parser.is_done()) {
+        parser.get().body().data = block.data();
+        parser.get().body().size = block.size();
+        auto [error, bytes] = co_await http::async_read_some(*this->stream, buffer, parser, asTuple);
+        const auto size = block.size() - parser.get().body().size;
+        if (size > 0 && this->hooks.onBody && !this->cancelled)
+            this->hooks.onBody({ block.data(), size });
+        if (error && error != http::error::need_buffer)
+            co_return error;
+    }
+    co_return boost::system::error_code {};
+}
+
+asio::awaitable<boost::system::error_code> HttpClient::Call::State::exchange()
+{
+    http::request<http::string_body> message(http::string_to_verb(this->request.method), this->request.target, 11);
+    setHeaders(message, this->request.headers);
+    message.set(http::field::host, this->address.toString());
+    message.body() = std::move(this->request.body);
+    message.prepare_payload();
+    this->stream->expires_after(this->options.timeout);
+    this->result.requestWritten = true;
+    auto [writeError, written] = co_await http::async_write(*this->stream, message, asTuple);
+    if (writeError)
+        co_return writeError;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    beast::flat_buffer buffer;
+    auto [headError, headBytes] = co_await http::async_read_header(*this->stream, buffer, parser, asTuple);
+    if (headError)
+        co_return headError;
+    this->result.status = parser.get().result_int();
+    if (this->hooks.onHead)
+        this->hooks.onHead({ this->result.status, headersOf(parser.get()), {} });
+    const auto bodyError = co_await this->readBody(parser, buffer);
+    this->keepAlive = !bodyError && parser.get().keep_alive();
+    co_return bodyError;
+}
+
+asio::awaitable<void> HttpClient::Call::State::run([[maybe_unused]] std::shared_ptr<State> self)
+{
+    boost::system::error_code error;
+    if (!this->stream->socket().is_open())
+        error = co_await this->connect();
+    if (!error && !this->cancelled)
+        error = co_await this->exchange();
+    if (this->cancelled && !error)
+        error = asio::error::operation_aborted;
+    this->result.error = this->kindOf(error);
+    if (!error && this->keepAlive) {
+        this->stream->expires_never();
+        this->client->keepIdle(this->address, std::move(this->stream));
+    }
+    const auto finished = std::exchange(this->hooks, {});
+    if (finished.onEnd)
+        finished.onEnd(this->result);
+}
+
+void HttpClient::Call::cancel() const
+{
+    const auto call = this->state.lock();
+    if (!call || call->cancelled.exchange(true))
+        return;
+    asio::post(call->executor, [call] {
+        if (call->stream)
+            call->stream->cancel();
+    });
+}
+
+HttpClient::HttpClient(Runtime& runtime, Init init)
+    : impl(std::make_shared<Impl>(runtime, init))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::Call HttpClient::stream(const Address& address, HttpRequest request, Options options, HttpClientHooks hooks)
+{
+    auto state = std::make_shared<Call::State>(this->impl, address, std::move(request), options, std::move(hooks));
+    if (options.reuseConnection)
+        state->stream = this->impl->takeIdle(address);
+    if (!state->stream)
+        state->stream = std::make_unique<beast::tcp_stream>(asio::make_strand(this->impl->context));
+    state->executor = state->stream->get_executor();
+    asio::co_spawn(state->executor, state->run(state), asio::detached);
+    return Call { state };
+}
+
+HttpClient::Call HttpClient::send(const Address& address, HttpRequest request, Options options, ResponseHook hook)
+{
+    auto response = std::make_shared<HttpResponse>();
+    HttpClientHooks hooks;
+    hooks.onHead = [response](const HttpResponse& head) { *response = head; };
+    hooks.onBody = [response](std::string_view part) { response->body.append(part); };
+    hooks.onEnd = [response, hook = std::move(hook)](HttpResult result) { hook(result, std::move(*response)); };
+    return this->stream(address, std::move(request), options, std::move(hooks));
+}
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/runtime/httpserver.cpp
@@ -0,0 +1,355 @@
+#include "runtime_p.h"
+
+#include <deque>
+
+namespace peridotramp {
+
+using Strand = asio::strand<asio::io_context::executor_type>;
+using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, Strand>;
+
+struct HttpServer::Impl {
+    Impl(Runtime& runtime, Init init, Handler handler)
+        : init(std::move(init))
+        , handler(std::move(handler))
+        , context(runtime.internals().context)
+        , acceptor(asio::make_strand(this->context))
+    {
+    }
+
+    Init init;
+    Handler handler;
+    asio::io_context& context;
+    Acceptor acceptor;
+    Address bound;
+    std::atomic<bool> stopping = false;
+    std::atomic<std::size_t> connections = 0;
+    std::atomic<std::size_t> exchanges = 0;
+};
+
+// One connection. Everything but the atomic members is touched on the connection's strand only.
+struct HttpExchange::Session : std::enable_shared_from_this<HttpExchange::Session> {
+    enum class PartKind : std::uint8_t { Whole, Head, Chunk, End, Count };
+    struct Part {
+        PartKind kind;
+        HttpResponse response;
+    };
+
+    Session(std::shared_ptr<HttpServer::Impl> server, asio::ip::tcp::socket socket)
+        : server(std::move(server))
+        , stream(std::move(socket))
+        , wake(this->stream.get_executor())
+    {
+    }
+
+    // The coroutines take their owner as an argument, because they start after the caller has let go of it.
+    asio::awaitable<void> run(std::shared_ptr<Session> self);
+    asio::awaitable<bool> readRequest();
+    asio::awaitable<void> refuse(http::status status);
+    asio::awaitable<void> serveRequest();
+    asio::awaitable<void> watchForDisconnect(std::shared_ptr<Session> self, std::uint64_t sequence);
+    asio::awaitable<bool> writePart(Part part);
+    asio::awaitable<void> writeWhole(HttpResponse response);
+    void enqueue(std::uint64_t sequence, Part part);
+    void endExchange(bool disconnected);
+
+    std::shared_ptr<HttpServer::Impl> server;
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer {};
+    std::optional<http::request_parser<http::string_body>> parser {};
+    std::deque<Part> parts {};
+    // Woken when a part arrives; never expires by itself.
+    asio::steady_timer wake;
+    std::function<void()> disconnectHook {};
+    std::uint64_t currentSequence = 0;
+    bool keepAlive = true;
+    bool broken = false;
+    bool exchangeActive = false;
+    std::atomic<std::size_t> pendingBytes = 0;
+    std::atomic<std::uint64_t> activeSequence = 0;
+};
+
+namespace {
+
+using Session = HttpExchange::Session;
+
+http::response_header<> headOf(const HttpResponse& response)
+{
+    http::response_header<> head;
+    head.version(11);
+    head.result(response.status);
+    setHeaders(head, response.headers);
+    return head;
+}
+
+} // namespace
+
+void Session::endExchange(bool disconnected)
+{
+    if (!this->exchangeActive)
+        return;
+    this->exchangeActive = false;
+    this->activeSequence = 0;
+    this->parts.clear();
+    this->pendingBytes = 0;
+    --this->server->exchanges;
+    const auto hook = std::exchange(this->disconnectHook, nullptr);
+    if (disconnected && hook)
+        hook();
+}
+
+void Session::enqueue(std::uint64_t sequence, Part part)
+{
+    if (sequence != this->currentSequence || !this->exchangeActive)
+        return;
+    this->parts.push_back(std::move(part));
+    this->wake.cancel();
+}
+
+asio::awaitable<void> Session::writeWhole(HttpResponse response)
+{
+    http::response<http::string_body> message(headOf(response), std::move(response.body));
+    message.keep_alive(this->keepAlive);
+    message.prepare_payload();
+    auto [error, bytes] = co_await http::async_write(this->stream, message, asTuple);
+    this->broken = this->broken || error;
+}
+
+// Writes one part and returns whether the exchange goes on.
+asio::awaitable<bool> Session::writePart(Part part)
+{
+    boost::system::error_code result;
+    const auto size = part.response.body.size();
+    switch (part.kind) {
+    case PartKind::Whole:
+        co_await this->writeWhole(std::move(part.response));
+        co_return false;
+    case PartKind::Head: {
+        http::response<http::empty_body> message(headOf(part.response));
+        message.keep_alive(this->keepAlive);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer(message);
+        auto [error, bytes] = co_await http::async_write_header(this->stream, serializer, asTuple);
+        result = error;
+        break;
+    }
+    case PartKind::Chunk: {
+        auto [error, bytes]
+            = co_await asio::async_write(this->stream, http::make_chunk(asio::buffer(part.response.body)), asTuple);
+        result = error;
+        break;
+    }
+    case PartKind::End:
+    case PartKind::Count: {
+        const auto last = http::make_chunk_last();
+        auto [error, bytes] = co_await asio::async_write(this->stream, last, asTuple);
+        result = error;
+        break;
+    }
+    }
+    this->pendingBytes -= std::min(size, this->pendingBytes.load());
+    this->broken = this->broken || result;
+    co_return !this->broken && part.kind != PartKind::End;
+}
+
+// Reports a caller that closes its connection while its request runs.
+asio::awaitable<void> Session::watchForDisconnect(
+    [[maybe_unused]] std::shared_ptr<Session> self, std::uint64_t sequence)
+{
+    auto [error] = co_await this->stream.socket().async_wait(asio::socket_base::wait_read, asTuple);
+    if (sequence != this->currentSequence || !this->exchangeActive || error == asio::error::operation_aborted)
+        co_return;
+    boost::system::error_code ignored;
+    // Readable without data means that the peer has closed; data is a pipelined request and is read later.
+    if (!error && this->stream.socket().available(ignored) > 0)
+        co_return;
+    this->broken = true;
+    this->endExchange(true);
+    this->wake.cancel();
+}
+
+asio::awaitable<void> Session::serveRequest()
+{
+    auto message = this->parser->release();
+    this->parser.reset();
+    this->keepAlive = message.keep_alive() && !this->server->stopping;
+    HttpRequest request { std::string(message.method_string()), std::string(message.target()), headersOf(message),
+        std::move(message.body()) };
+    this->exchangeActive = true;
+    this->activeSequence = ++this->currentSequence;
+    ++this->server->exchanges;
+    asio::co_spawn(this->stream.get_executor(),
+        this->watchForDisconnect(this->shared_from_this(), this->currentSequence), asio::detached);
+    this->server->handler(std::move(request), HttpExchange { this->shared_from_this(), this->currentSequence });
+    bool goesOn = true;
+    while (goesOn && this->exchangeActive) {
+        if (this->parts.empty()) {
+            this->wake.expires_at(std::chrono::steady_clock::time_point::max());
+            co_await this->wake.async_wait(asTuple);
+            continue;
+        }
+        auto part = std::move(this->parts.front());
+        this->parts.pop_front();
+        goesOn = co_await this->writePart(std::move(part));
+    }
+    this->endExchange(this->broken);
+    boost::system::error_code ignored;
+    this->stream.socket().cancel(ignored);
+}
+
+asio::awaitable<void> Session::refuse(http::status status)
+{
+    this->keepAlive = false;
+    const auto kind = status == http::status::bad_request ? ErrorKind::InvalidRequest : ErrorKind::RequestTooLarge;
+    // g++ 12 destroys aggregate temporaries of a co_await expression twice, so the response is a variable.
+    auto response = textResponse(static_cast<unsigned>(status), std::error_code(kind).message() + "\n");
+    co_await this->writeWhole(std::move(response));
+}
+
+asio::awaitable<bool> Session::readRequest()
+{
+    this->parser.emplace();
+    this->parser->header_limit(static_cast<std::uint32_t>(this->server->init.maxHeaderBytes));
+    this->parser->body_limit(this->server->init.maxBodyBytes);
+    this->stream.expires_after(this->server->init.readTimeout);
+    auto [error, bytes] = co_await http::async_read(this->stream, this->buffer, *this->parser, asTuple);
+    this->stream.expires_never();
+    if (!error)
+        co_return true;
+    if (error == http::error::body_limit)
+        co_await this->refuse(http::status::payload_too_large);
+    else if (error == http::error::header_limit)
+        co_await this->refuse(http::status::request_header_fields_too_large);
+    else if (isParseError(error))
+        co_await this->refuse(http::status::bad_request);
+    co_return false;
+}
+
+asio::awaitable<void> Session::run([[maybe_unused]] std::shared_ptr<Session> self)
+{
+    while (co_await this->readRequest()) {
+        co_await this->serveRequest();
+        if (this->broken || !this->keepAlive || this->server->stopping)
+            break;
+    }
+    boost::system::error_code ignored;
+    this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    --this->server->connections;
+}
+
+namespace {
+
+asio::awaitable<void> acceptConnections(std::shared_ptr<HttpServer::Impl> server)
+{
+    while (!server->stopping) {
+        auto [error, socket] = co_await server->acceptor.async_accept(asio::make_strand(server->context), asTuple);
+        if (error) {
+            if (server->stopping)
+                co_return;
+            // Running out of descriptors is transient; the pause keeps the loop from spinning.
+            asio::steady_timer pause(server->acceptor.get_executor(), Milliseconds(20));
+            co_await pause.async_wait(asTuple);
+            continue;
+        }
+        if (server->connections >= server->init.maxConnections)
+            continue;
+        ++server->connections;
+        boost::system::error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        auto session = std::make_shared<Session>(server, asio::ip::tcp::socket(std::move(socket)));
+        asio::co_spawn(session->stream.get_executor(), session->run(session), asio::detached);
+    }
+}
+
+void post(const HttpExchange& exchange, Session::PartKind kind, HttpResponse response)
+{
+    if (!exchange.session)
+        return;
+    auto& session = *exchange.session;
+    asio::post(session.stream.get_executor(),
+        [session = exchange.session, sequence = exchange.sequence,
+            part = Session::Part { kind, std::move(response) }]() mutable {
+            session->enqueue(sequence, std::move(part));
+        });
+}
+
+} // namespace
+
+void HttpExchange::respond(HttpResponse response) const { post(*this, Session::PartKind::Whole, std::move(response)); }
+
+void HttpExchange::startStream(HttpResponse head) const { post(*this, Session::PartKind::Head, std::move(head)); }
+
+bool HttpExchange::write(std::string part) const
+{
+    if (!this->session || this->session->activeSequence != this->sequence)
+        return false;
+    if (part.empty())
+        return true;
+    const auto pending = this->session->pendingBytes += part.size();
+    if (pending > this->session->server->init.maxPendingBytes) {
+        this->abort();
+        return false;
+    }
+    post(*this, Session::PartKind::Chunk, { 200, {}, std::move(part) });
+    return true;
+}
+
+void HttpExchange::finish() const { post(*this, Session::PartKind::End, {}); }
+
+void HttpExchange::abort() const
+{
+    if (!this->session)
+        return;
+    asio::post(this->session->stream.get_executor(), [session = this->session, sequence = this->sequence] {
+        if (sequence != session->currentSequence || !session->exchangeActive)
+            return;
+        session->broken = true;
+        boost::system::error_code ignored;
+        session->stream.socket().close(ignored);
+        session->endExchange(true);
+        session->wake.cancel();
+    });
+}
+
+void HttpExchange::onDisconnect(std::function<void()> hook) const
+{
+    if (!this->session)
+        return;
+    asio::dispatch(this->session->stream.get_executor(),
+        [session = this->session, sequence = this->sequence, hook = std::move(hook)] {
+            if (sequence == session->currentSequence && session->exchangeActive)
+                session->disconnectHook = hook;
+            else if (session->broken)
+                hook();
+        });
+}
+
+HttpServer::HttpServer(Runtime& runtime, Init init, Handler handler)
+    : impl(std::make_shared<Impl>(runtime, std::move(init), std::move(handler)))
+{
+    auto& acceptor = this->impl->acceptor;
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(this->impl->init.listen.host), this->impl->init.listen.port);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+    this->impl->bound = { this->impl->init.listen.host, acceptor.local_endpoint().port() };
+    asio::co_spawn(acceptor.get_executor(), acceptConnections(this->impl), asio::detached);
+}
+
+HttpServer::~HttpServer() { this->stopAccepting(); }
+
+Address HttpServer::address() const { return this->impl->bound; }
+
+void HttpServer::stopAccepting()
+{
+    this->impl->stopping = true;
+    asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
+        boost::system::error_code ignored;
+        impl->acceptor.close(ignored);
+    });
+}
+
+std::size_t HttpServer::activeExchanges() const { return this->impl->exchanges; }
+
+} // namespace peridotramp
--- /dev/null
+++ b/tests/runtime/http.cpp
@@ -0,0 +1,146 @@
+#include "peridotramp/runtime.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace peridotramp;
+
+namespace {
+
+struct Answer {
+    HttpResult result;
+    HttpResponse response;
+};
+
+Answer fetch(HttpClient& client, const Address& address, HttpRequest request, HttpClient::Options options = {})
+{
+    std::promise<Answer> promise;
+    client.send(address, std::move(request), options,
+        [&](HttpResult result, HttpResponse response) { promise.set_value({ result, std::move(response) }); });
+    return promise.get_future().get();
+}
+
+struct Loop {
+    Runtime runtime;
+    HttpClient client { this->runtime };
+
+    Loop() { this->runtime.start(); }
+};
+
+} // namespace
+
+TEST_CASE("a response arrives whole, and the connection serves further requests")
+{
+    Loop loop;
+    HttpServer server(loop.runtime, {}, [](HttpRequest request, HttpExchange exchange) {
+        exchange.respond(textResponse(200, request.method + " " + std::string(request.path()) + " " + request.body));
+    });
+    for (int round = 0; round < 3; ++round) {
+        const auto answer = fetch(loop.client, server.address(), { "POST", "/echo?x=1", {}, "body" });
+        REQUIRE(answer.result.error == ErrorKind::None);
+        REQUIRE(answer.response.body == "POST /echo body");
+    }
+    REQUIRE(server.activeExchanges() == 0);
+}
+
+TEST_CASE("a streamed response keeps its parts in order")
+{
+    Loop loop;
+    HttpServer server(loop.runtime, {}, [&](HttpRequest, HttpExchange exchange) {
+        exchange.startStream({ 200, { { "Content-Type", "text/event-stream" } }, {} });
+        loop.runtime.post([exchange] {
+            for (int part = 0; part < 100; ++part)
+                exchange.write(std::to_string(part) + ",");
+            exchange.finish();
+        });
+    });
+    std::string expected;
+    for (int part = 0; part < 100; ++part)
+        expected += std::to_string(part) + ",";
+    REQUIRE(fetch(loop.client, server.address(), {}).response.body == expected);
+}
+
+TEST_CASE("a request beyond the size limit is refused and does not reach the handler")
+{
+    Loop loop;
+    HttpServer::Init init;
+    init.maxBodyBytes = 100;
+    std::atomic<int> handled = 0;
+    HttpServer server(loop.runtime, init, [&](HttpRequest, HttpExchange exchange) {
+        ++handled;
+        exchange.respond({});
+    });
+    const auto answer = fetch(loop.client, server.address(), { "POST", "/", {}, std::string(1000, 'x') });
+    REQUIRE(answer.response.status == 413);
+    REQUIRE(handled == 0);
+}
+
+TEST_CASE("the server is told when a caller disconnects before the response")
+{
+    Loop loop;
+    std::promise<void> arrived;
+    std::promise<void> disconnected;
+    HttpServer server(loop.runtime, {}, [&](HttpRequest, HttpExchange exchange) {
+        exchange.onDisconnect([&] { disconnected.set_value(); });
+        arrived.set_value();
+    });
+    std::promise<HttpResult> ended;
+    const auto call
+        = loop.client.send(server.address(), {}, {}, [&](HttpResult result, HttpResponse) { ended.set_value(result); });
+    arrived.get_future().wait();
+    call.cancel();
+    REQUIRE(ended.get_future().get().error == ErrorKind::Cancelled);
+    disconnected.get_future().wait();
+    REQUIRE(server.activeExchanges() == 0);
+}
+
+TEST_CASE("a refused connection proves that no byte of the request was written")
+{
+    Loop loop;
+    Address address;
+    {
+        HttpServer server(loop.runtime, {}, [](HttpRequest, HttpExchange exchange) { exchange.respond({}); });
+        address = server.address();
+    }
+    // The acceptor closes on the loop, so a first attempt may still connect and be dropped.
+    Answer answer;
+    for (int attempt = 0; attempt < 50; ++attempt) {
+        answer = fetch(loop.client, address, {}, { Milliseconds(2000), false });
+        if (!answer.result.requestWritten)
+            break;
+    }
+    REQUIRE(answer.result.error == ErrorKind::ConnectionFailed);
+    REQUIRE_FALSE(answer.result.requestWritten);
+}
+
+TEST_CASE("a caller that reads too slowly is disconnected and bounds the memory of its response")
+{
+    Loop loop;
+    HttpServer::Init init;
+    init.maxPendingBytes = 1000;
+    std::promise<bool> refused;
+    HttpServer server(loop.runtime, init, [&](HttpRequest, HttpExchange exchange) {
+        exchange.startStream({});
+        exchange.write(std::string(900, 'x'));
+        refused.set_value(!exchange.write(std::string(2000, 'y')));
+    });
+    REQUIRE(fetch(loop.client, server.address(), {}).result.error != ErrorKind::None);
+    REQUIRE(refused.get_future().get());
+}
+
+TEST_CASE("timers follow the paused clock")
+{
+    RuntimeClock::pause();
+    {
+        Loop loop;
+        std::promise<void> fired;
+        std::atomic<int> cancelledFired = 0;
+        loop.runtime.after(Seconds(3600), [&] { fired.set_value(); });
+        auto cancelled = loop.runtime.after(Seconds(10), [&] { ++cancelledFired; });
+        cancelled.cancel();
+        RuntimeClock::advance(Seconds(3600));
+        fired.get_future().wait();
+        REQUIRE(cancelledFired == 0);
+    }
+    RuntimeClock::resume();
+}
