--- a/include/peridotramp/membership.h
+++ b/include/peridotramp/membership.h
@@ -93,7 +93,8 @@
         /// One probe in this many goes to another failure domain.
         std::uint32_t crossDomainShare = 10;
         /// Silence of a failure domain after which it gets an extra probe in every period, whatever its members' state.
-        Duration domainSilence = Seconds(5);
+        /// A failure domain without a live member gets one at once.
+        Duration domainSilence = Seconds(20);
         /// Time between probes of a seed or listed address that matches no live member.
         Duration contactPeriod = Seconds(5);
         /// Time that a dead or left member stays in the table.
@@ -102,7 +103,8 @@
         ByteCount datagram { 1200 };
         /// Each update is sent this many times the binary logarithm of the member count before it is old.
         std::uint32_t transmissionFactor = 3;
-        /// Old rows that each message repeats in turn, so that tables converge after lost updates.
+        /// Old rows that each message repeats in turn, so that tables converge after lost updates. A message to a
+        /// member that is new in the table repeats as many as fit.
         std::size_t repeatedRows = 2;
         /// Members to which a node forwards each new configuration version at once; 0 leaves it to heartbeats.
         std::uint32_t forwardQuota = 3;
@@ -153,14 +155,15 @@
     /// Runs timers; call it every `Limits::tickPeriod`.
     std::vector<OutgoingMembership> tick(TimePoint now);
     std::vector<OutgoingMembership> receive(TimePoint now, const MembershipMessage& message);
-    /// Announces a planned stop. Afterwards the node only answers probes.
+    /// Announces a planned stop. Afterwards the node only answers probes; keep it running for `Limits::suspicion`, so
+    /// that members that have not heard yet do not declare it dead.
     std::vector<OutgoingMembership> leave(TimePoint now);
     /// Replaces the addresses of the platform's instance list, which is only a hint where members may be found.
     void setInstanceHints(std::vector<Address> udpAddresses);
     /// Sets the own configuration version and forwards it to up to `Limits::forwardQuota` members.
     std::vector<OutgoingMembership> setConfigurationVersion(TimePoint now, Offset version);
 
-    /// Returns the own row followed by all others, in order of node id.
+    /// Returns all rows, the own one included, in order of node id.
     std::vector<Member> members() const;
     /// Returns the nodes of a failure domain that are alive or suspect, the own one included, in order of node id.
     std::vector<NodeId> liveNodes(DomainId domain) const;
--- /dev/null
+++ b/src/decisions/membership/gossip.cpp
@@ -0,0 +1,125 @@
+#include "membership_p.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace peridotramp {
+
+namespace {
+
+// Dead or suspect members of the receiver's failure domain that one message names, so that they can refute.
+constexpr std::size_t rumoursPerMessage = 4;
+// Time for which a member counts as new and gets full messages to fill its table.
+constexpr Duration newcomerTime = Seconds(10);
+
+} // namespace
+
+void Membership::State::send(Messages& out, MembershipMessageKind kind, std::uint64_t sequence, NodeId target,
+    const Row* to, const Address& address, const Address& targetAddress)
+{
+    MembershipMessage message;
+    message.kind = kind;
+    message.sequence = sequence;
+    message.target = target;
+    message.targetAddress = targetAddress;
+    message.sender = this->self;
+    message.configurationVersion = this->version;
+    if (kind != MembershipMessageKind::Announce)
+        this->addUpdates(message, to);
+    ++this->stats.messagesSent;
+    this->stats.bytesSent += static_cast<std::uint64_t>(estimatedSize(message).value);
+    out.push_back({ to ? to->member.row.node : NodeId {}, address, std::move(message) });
+}
+
+bool Membership::State::addRow(MembershipMessage& message, const Row& row)
+{
+    const auto& update = row.member.row;
+    const auto size = estimatedSize(message) + ByteCount { encodedSize(update) };
+    if (size > this->limits.datagram)
+        return false;
+    if (std::ranges::find(message.updates, update.node, &MemberUpdate::node) == message.updates.end())
+        message.updates.push_back(update);
+    return true;
+}
+
+void Membership::State::addUpdates(MembershipMessage& message, const Row* to)
+{
+    // A member must learn that it is suspected or declared dead, or it cannot refute.
+    if (to && to->member.row.state != MemberState::Alive)
+        this->addRow(message, *to);
+    // A passed-on acknowledgement proves the target alive by the target's own row, and a helper passes on that the
+    // target is suspected.
+    const bool concernsTarget
+        = message.kind == MembershipMessageKind::ProbeAck || message.kind == MembershipMessageKind::IndirectProbe;
+    if (auto* target = this->find(message.target); target && concernsTarget)
+        this->addRow(message, *target);
+    this->addFreshRows(message);
+    if (to && !this->isOwnDomain(*to))
+        this->addRumoursAbout(to->member.row.domain, message);
+    const bool isNew = to && this->lastTick - to->member.since < newcomerTime;
+    this->addRepeatedRows(message, isNew ? this->rows.size() : std::min(this->limits.repeatedRows, this->rows.size()));
+}
+
+void Membership::State::addFreshRows(MembershipMessage& message)
+{
+    std::ranges::sort(this->fresh, {}, [this](NodeId node) {
+        const auto* row = this->find(node);
+        return row ? row->transmissions : 0;
+    });
+    const auto enough = this->limits.transmissionFactor * std::bit_width(this->rows.size() + 1);
+    for (const auto node : this->fresh) {
+        auto* row = this->find(node);
+        if (!row)
+            continue;
+        if (!this->addRow(message, *row))
+            break;
+        if (++row->transmissions >= enough)
+            row->fresh = false;
+    }
+    std::erase_if(this->fresh, [this](NodeId node) {
+        const auto* row = this->find(node);
+        return !row || !row->fresh;
+    });
+}
+
+void Membership::State::addRumoursAbout(DomainId domain, MembershipMessage& message)
+{
+    const auto rumours = this->sample(rumoursPerMessage, [domain](const Row& row) {
+        const auto& update = row.member.row;
+        return update.domain == domain && (update.state == MemberState::Dead || update.state == MemberState::Suspect);
+    });
+    for (const auto* row : rumours)
+        this->addRow(message, *row);
+}
+
+void Membership::State::addRepeatedRows(MembershipMessage& message, std::size_t most)
+{
+    auto next = this->rows.upper_bound(this->repeatCursor);
+    for (std::size_t count = 0; count < most; ++count, ++next) {
+        if (next == this->rows.end())
+            next = this->rows.begin();
+        if (!this->addRow(message, next->second))
+            return;
+        this->repeatCursor = next->first;
+    }
+}
+
+void Membership::State::forwardVersion(Messages& out)
+{
+    const auto lacksVersion = [this](const Row& row) {
+        const auto known = row.member.configurationVersion;
+        return row.member.row.state == MemberState::Alive && (!known.isValid() || known < this->version);
+    };
+    for (std::uint32_t count = 0; count < this->limits.forwardQuota; ++count) {
+        const bool cross = this->random() % this->limits.crossDomainShare == 0;
+        const auto chosen = this->sample(1, [&](const Row& row) {
+            const bool taken = std::ranges::any_of(
+                out, [&row](const OutgoingMembership& sent) { return sent.to == row.member.row.node; });
+            return !taken && lacksVersion(row) && this->isOwnDomain(row) != cross;
+        });
+        for (const auto* row : chosen)
+            this->send(out, MembershipMessageKind::Announce, 0, {}, row, row->member.row.addresses.udp);
+    }
+}
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/decisions/membership/membership_p.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "peridotramp/membership.h"
+
+#include <random>
+
+namespace peridotramp {
+
+/// Returns the upper bound of the encoded size of one row.
+std::int64_t encodedSize(const MemberUpdate& row);
+
+struct Membership::State {
+    struct Row {
+        Member member {};
+        TimePoint suspectUntil {};
+        std::uint32_t transmissions = 0;
+        bool fresh = false;
+    };
+
+    struct OutstandingProbe {
+        NodeId target {};
+        Incarnation incarnation {};
+        std::uint64_t sequence = 0;
+        TimePoint sentAt {};
+        std::uint32_t repeats = 0;
+    };
+
+    /// Probe made for another node, to which the acknowledgement is passed on.
+    struct Relay {
+        std::uint64_t sequence = 0;
+        NodeId target {};
+        NodeId requester {};
+        Address requesterAddress {};
+        std::uint64_t requesterSequence = 0;
+        TimePoint expires {};
+    };
+
+    using Messages = std::vector<OutgoingMembership>;
+
+    State(const Init& init, TimePoint now);
+
+    // Table (table.cpp)
+    void apply(TimePoint now, const MemberUpdate& update);
+    void applyToSelf(const MemberUpdate& update);
+    void enter(TimePoint now, Row& row, MemberState state);
+    void refresh(Row& row);
+    void suspect(TimePoint now, NodeId node, Incarnation incarnation);
+    void endSuspicions(TimePoint now);
+    void purge(TimePoint now);
+    bool hasLiveMember(DomainId domain) const;
+    Row* find(NodeId node);
+
+    // Messages (gossip.cpp)
+    void send(Messages& out, MembershipMessageKind kind, std::uint64_t sequence, NodeId target, const Row* to,
+        const Address& address, const Address& targetAddress = {});
+    void addUpdates(MembershipMessage& message, const Row* to);
+    bool addRow(MembershipMessage& message, const Row& row);
+    void addFreshRows(MembershipMessage& message);
+    void addRumoursAbout(DomainId domain, MembershipMessage& message);
+    void addRepeatedRows(MembershipMessage& message, std::size_t most);
+    void forwardVersion(Messages& out);
+
+    // Probes (probing.cpp)
+    void noticeTime(TimePoint now, Duration tolerance);
+    void probe(Messages& out, Row& target, std::uint64_t sequence);
+    void probeNext(Messages& out, TimePoint now);
+    void judgeProbe(TimePoint now);
+    void repeatProbe(Messages& out, TimePoint now);
+    void probeIndirectly(Messages& out, const Row& target, std::uint64_t sequence, std::size_t count);
+    void probeSuspect(Messages& out);
+    void probeSilentDomain(Messages& out, TimePoint now);
+    void contactAddress(Messages& out, TimePoint now);
+    Row* nextTarget();
+    Row* nextInRing(std::vector<NodeId>& ring, bool ownDomain);
+    void acknowledge(Messages& out, const MembershipMessage& message);
+    void acceptAcknowledgement(Messages& out, const MembershipMessage& message);
+    void probeForOther(Messages& out, TimePoint now, const MembershipMessage& message);
+    /// Returns up to `count` random rows that satisfy the predicate.
+    std::vector<Row*> sample(std::size_t count, const std::function<bool(const Row&)>& predicate);
+
+    bool isUsable(const Row& row) const
+    {
+        return row.member.row.state == MemberState::Alive || row.member.row.state == MemberState::Suspect;
+    }
+    bool isOwnDomain(const Row& row) const { return row.member.row.domain == this->self.domain; }
+    bool hasLeft() const { return this->self.state == MemberState::Left; }
+
+    Limits limits;
+    MemberUpdate self;
+    Offset version {};
+    std::vector<Address> seeds;
+    std::vector<Address> hints;
+    std::mt19937_64 random;
+    Stats stats {};
+
+    std::map<NodeId, Row> rows;
+    std::vector<NodeId> fresh;
+    std::vector<NodeId> suspects;
+    std::map<DomainId, TimePoint> domainHeard;
+    std::map<DomainId, TimePoint> domainProbed;
+    NodeId repeatCursor { 0 };
+
+    std::vector<NodeId> ownRing;
+    std::vector<NodeId> crossRing;
+    std::optional<OutstandingProbe> outstanding;
+    std::vector<Relay> relays;
+    std::uint64_t lastSequence = 0;
+    std::uint64_t probeCount = 0;
+    std::size_t contactCursor = 0;
+
+    TimePoint lastTick;
+    TimePoint nextProbe;
+    TimePoint nextContact;
+    TimePoint nextPurge;
+    std::optional<TimePoint> lastLateTimer;
+};
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/decisions/membership/table.cpp
@@ -0,0 +1,131 @@
+#include "membership_p.h"
+
+#include <algorithm>
+
+namespace peridotramp {
+
+Membership::State::Row* Membership::State::find(NodeId node)
+{
+    const auto found = this->rows.find(node);
+    return found == this->rows.end() ? nullptr : &found->second;
+}
+
+void Membership::State::refresh(Row& row)
+{
+    row.transmissions = 0;
+    if (row.fresh)
+        return;
+    row.fresh = true;
+    this->fresh.push_back(row.member.row.node);
+}
+
+void Membership::State::enter(TimePoint now, Row& row, MemberState state)
+{
+    row.member.row.state = state;
+    row.member.since = now;
+    this->refresh(row);
+    if (state != MemberState::Suspect)
+        return;
+    row.suspectUntil = now + this->limits.suspicion;
+    const auto node = row.member.row.node;
+    if (std::ranges::find(this->suspects, node) == this->suspects.end())
+        this->suspects.push_back(node);
+    ++this->stats.suspicions;
+}
+
+void Membership::State::applyToSelf(const MemberUpdate& update)
+{
+    if (this->hasLeft())
+        return;
+    const bool newer = update.incarnation > this->self.incarnation;
+    const bool accused = update.incarnation == this->self.incarnation && update.state != MemberState::Alive;
+    if (!newer && !accused)
+        return;
+    // An incarnation above the own one is left from an earlier run whose clock was ahead.
+    this->self.incarnation = Incarnation { update.incarnation.value + 1 };
+    ++this->stats.refutations;
+}
+
+void Membership::State::apply(TimePoint now, const MemberUpdate& update)
+{
+    if (update.node == this->self.node) {
+        this->applyToSelf(update);
+        return;
+    }
+    auto* known = this->find(update.node);
+    const bool usable = update.state == MemberState::Alive || update.state == MemberState::Suspect;
+    if (!known) {
+        // Purged rows would otherwise come back from nodes that purge later.
+        if (!usable)
+            return;
+        Row row;
+        row.member.row = update;
+        auto& added = this->rows.emplace(update.node, row).first->second;
+        this->enter(now, added, update.state);
+        return;
+    }
+    auto& row = known->member.row;
+    const bool newer = update.incarnation > row.incarnation;
+    const bool worse = update.incarnation == row.incarnation && update.state > row.state;
+    if (!newer && !worse)
+        return;
+    // After a cut has healed, one side's verdicts reach the other, whose members are alive. Every node therefore gives
+    // a member the whole suspicion time to refute before it believes in the death itself.
+    const auto believed = update.state == MemberState::Dead ? MemberState::Suspect : update.state;
+    if (!newer && believed == row.state)
+        return;
+    const bool replaced = newer && update.addresses != row.addresses;
+    row = update;
+    if (newer || replaced)
+        known->member.configurationVersion = Offset {};
+    this->enter(now, *known, believed);
+}
+
+void Membership::State::suspect(TimePoint now, NodeId node, Incarnation incarnation)
+{
+    auto* row = this->find(node);
+    if (!row || row->member.row.state != MemberState::Alive || row->member.row.incarnation != incarnation)
+        return;
+    this->enter(now, *row, MemberState::Suspect);
+}
+
+void Membership::State::endSuspicions(TimePoint now)
+{
+    std::erase_if(this->suspects, [&](NodeId node) {
+        auto* row = this->find(node);
+        if (!row || row->member.row.state != MemberState::Suspect)
+            return true;
+        if (now < row->suspectUntil)
+            return false;
+        this->enter(now, *row, MemberState::Dead);
+        ++this->stats.deaths;
+        return true;
+    });
+}
+
+bool Membership::State::hasLiveMember(DomainId domain) const
+{
+    return std::ranges::any_of(this->rows,
+        [&](const auto& entry) { return entry.second.member.row.domain == domain && this->isUsable(entry.second); });
+}
+
+void Membership::State::purge(TimePoint now)
+{
+    if (now < this->nextPurge)
+        return;
+    this->nextPurge = now + this->limits.purgeAfter / 64;
+    std::erase_if(this->rows, [&](const auto& entry) {
+        const auto& row = entry.second;
+        if (this->isUsable(row) || now - row.member.since < this->limits.purgeAfter)
+            return false;
+        // The rows of a failure domain that is cut off are the way back to it.
+        const bool cutOff = row.member.row.state == MemberState::Dead && !this->isOwnDomain(row)
+            && !this->hasLiveMember(row.member.row.domain);
+        if (cutOff)
+            return false;
+        ++this->stats.purged;
+        return true;
+    });
+}
+
+} // namespace peridotramp
--- /dev/null
+++ b/tests/membership/failures.cpp
@@ -0,0 +1,214 @@
+#include "../../tools/bench-membership/fleet_p.h"
+
+#include <catch2/catch.hpp>
+
+using namespace peridotramp;
+
+namespace {
+
+constexpr std::uint64_t seed = 20261204;
+
+Fleet makeFleet(std::size_t nodes = 12, std::size_t domains = 3, std::uint64_t fleetSeed = seed)
+{
+    UNSCOPED_INFO("seed " << fleetSeed);
+    return Fleet({ nodes, domains, fleetSeed });
+}
+
+auto cutBetween(std::uint64_t a, std::uint64_t b, bool bothWays)
+{
+    return [=](DomainId from, DomainId to) {
+        return (from.value == a && to.value == b) || (bothWays && from.value == b && to.value == a);
+    };
+}
+
+} // namespace
+
+TEST_CASE("a crashed node is declared dead by all others, and nobody else is")
+{
+    auto fleet = makeFleet();
+    fleet.run(Seconds(5));
+    fleet.kill(4);
+    const auto taken = fleet.runUntil([&] { return fleet.allSee(4, MemberState::Dead); }, Seconds(30));
+    REQUIRE(taken);
+    REQUIRE(*taken > Seconds(3));
+    fleet.run(Seconds(30));
+    REQUIRE(fleet.isWhole());
+    REQUIRE(fleet.sum(&Membership::Stats::suspicions) <= 11);
+}
+
+TEST_CASE("a freeze shorter than suspicion is not taken for a death")
+{
+    auto fleet = makeFleet();
+    fleet.run(Seconds(5));
+    for (std::size_t node = 0; node < 12; ++node) {
+        fleet.freeze(node);
+        fleet.run(Milliseconds(2500));
+        fleet.thaw(node);
+        fleet.run(Seconds(10));
+    }
+    REQUIRE(fleet.sum(&Membership::Stats::deaths) == 0);
+    REQUIRE(fleet.sum(&Membership::Stats::suspicions) > 0);
+    REQUIRE(fleet.sum(&Membership::Stats::lateTimers) == 0);
+    REQUIRE(fleet.isWhole());
+}
+
+TEST_CASE("a node that was frozen for longer than its lease raises its incarnation and returns")
+{
+    auto fleet = makeFleet();
+    fleet.run(Seconds(5));
+    const auto before = fleet.nodes[7].membership->incarnation();
+    fleet.freeze(7);
+    fleet.run(Seconds(20));
+    REQUIRE(fleet.allSee(7, MemberState::Dead));
+    fleet.thaw(7);
+    REQUIRE(fleet.nodes[7].membership->lastLateTimer() == fleet.now);
+    REQUIRE(fleet.nodes[7].membership->incarnation() > before);
+    REQUIRE(fleet.runUntil([&] { return fleet.isWhole(); }, Seconds(10)));
+    // The woken node must not blame the others for its own silence.
+    REQUIRE(fleet.sum(&Membership::Stats::deaths) <= 11);
+    REQUIRE(fleet.nodes[7].membership->stats().deaths == 0);
+}
+
+TEST_CASE("a cut between two failure domains kills nobody while a third reaches both")
+{
+    for (const bool bothWays : { false, true }) {
+        auto fleet = makeFleet();
+        fleet.run(Seconds(5));
+        fleet.isCut = cutBetween(0, 1, bothWays);
+        fleet.run(std::chrono::minutes(3));
+        REQUIRE(fleet.sum(&Membership::Stats::deaths) == 0);
+        fleet.isCut = nullptr;
+        REQUIRE(fleet.runUntil([&] { return fleet.isWhole(); }, Seconds(10)));
+    }
+}
+
+TEST_CASE("failure domains that were cut off find each other again, and healing kills nobody")
+{
+    for (const bool bothWays : { false, true }) {
+        for (const auto length : { std::chrono::minutes(2), std::chrono::minutes(90) }) {
+            auto fleet = makeFleet(12, 2);
+            fleet.run(Seconds(5));
+            fleet.isCut = cutBetween(0, 1, bothWays);
+            fleet.run(length);
+            REQUIRE(fleet.allSee(0, MemberState::Alive) == false);
+            for (std::size_t node = 0; node < 12; ++node)
+                REQUIRE(fleet.nodes[node].membership->liveNodes(DomainId { node % 2 }).size() == 6);
+            const auto deaths = fleet.sum(&Membership::Stats::deaths);
+            fleet.isCut = nullptr;
+            REQUIRE(fleet.runUntil([&] { return fleet.isWhole(); }, Seconds(30)));
+            REQUIRE(fleet.sum(&Membership::Stats::deaths) == deaths);
+        }
+    }
+}
+
+TEST_CASE("message loss up to 30 % kills nobody and does not hide a crash")
+{
+    for (const double loss : { 0.0, 0.01, 0.1, 0.2, 0.3 }) {
+        INFO("loss " << loss);
+        auto fleet = makeFleet();
+        fleet.loss = loss;
+        fleet.run(std::chrono::minutes(5));
+        REQUIRE(fleet.sum(&Membership::Stats::deaths) == 0);
+        fleet.kill(3);
+        REQUIRE(fleet.runUntil([&] { return fleet.allSee(3, MemberState::Dead); }, Seconds(30)));
+        REQUIRE(fleet.sum(&Membership::Stats::deaths) <= 11);
+    }
+}
+
+TEST_CASE("a restarted node returns under a new incarnation at the same address")
+{
+    for (const auto pause : { Milliseconds(200), Milliseconds(8000) }) {
+        auto fleet = makeFleet();
+        fleet.run(Seconds(5));
+        const auto before = fleet.nodes[5].membership->incarnation();
+        fleet.kill(5);
+        fleet.run(pause);
+        fleet.start(5);
+        const auto allSeeTheNewRun = [&] {
+            bool all = fleet.isWhole();
+            fleet.forEachView([&](std::size_t, const Member& member) {
+                all = all && (member.row.node.value != 5 || member.row.incarnation > before);
+            });
+            return all;
+        };
+        REQUIRE(fleet.runUntil(allSeeTheNewRun, Seconds(20)));
+    }
+}
+
+TEST_CASE("a node whose clock stepped back before its restart overtakes its earlier run")
+{
+    auto fleet = makeFleet();
+    fleet.run(Seconds(5));
+    const auto before = fleet.nodes[5].membership->incarnation();
+    fleet.kill(5);
+    fleet.now -= Seconds(1);
+    fleet.start(5);
+    fleet.now += Seconds(1);
+    REQUIRE(fleet.runUntil(
+        [&] { return fleet.isWhole() && fleet.nodes[5].membership->incarnation() > before; }, Seconds(20)));
+}
+
+TEST_CASE("a fleet that is replaced node by node stays whole and forgets the old nodes")
+{
+    // 110 replacements a day in 360 nodes are one a node in 79 h; here it is one node every 10 s, half of them crashes.
+    Membership::Limits limits;
+    limits.purgeAfter = std::chrono::minutes(3);
+    Fleet fleet({ 12, 3, seed, limits });
+    for (std::size_t old = 3; old < 63; ++old) {
+        if (old % 2 == 0)
+            fleet.sendAll(old, fleet.nodes[old].membership->leave(fleet.now));
+        fleet.kill(old);
+        const auto domain = fleet.nodes[old].domain;
+        const auto fresh = fleet.add(domain, old % 5 == 0 ? std::optional(fleet.nodes[old].addresses) : std::nullopt);
+        REQUIRE(fleet.runUntil([&] { return fleet.isWhole(); }, Seconds(30)));
+        REQUIRE(fleet.allSee(fresh, MemberState::Alive));
+        fleet.run(Seconds(10));
+    }
+    REQUIRE(fleet.isWhole());
+    fleet.run(std::chrono::minutes(5));
+    fleet.forEachView([&](std::size_t, const Member& member) { REQUIRE(member.row.state == MemberState::Alive); });
+    REQUIRE(fleet.nodes.back().membership->members().size() == 12);
+}
+
+TEST_CASE("a node finds the fleet by a stale instance list when its seeds are gone")
+{
+    auto fleet = makeFleet();
+    const auto joined = fleet.add(DomainId { 1 });
+    // The seeds die before the new node has sent anything, and most of the list names instances that are gone.
+    for (const std::size_t dead : { 0, 1, 2 })
+        fleet.kill(dead);
+    std::vector<Address> hints;
+    for (int gone = 0; gone < 20; ++gone)
+        hints.push_back({ "10.9.9." + std::to_string(gone), 7002 });
+    hints.push_back(fleet.nodes[8].addresses.udp);
+    fleet.nodes[joined].membership->setInstanceHints(hints);
+    REQUIRE(fleet.runUntil([&] { return fleet.isWhole(); }, Seconds(60)));
+}
+
+TEST_CASE("a planned stop is known within seconds, and nobody declares the node dead")
+{
+    auto fleet = makeFleet(60, 5);
+    fleet.run(Seconds(5));
+    fleet.sendAll(9, fleet.nodes[9].membership->leave(fleet.now));
+    fleet.run(Seconds(3));
+    fleet.kill(9);
+    REQUIRE(fleet.runUntil([&] { return fleet.allSee(9, MemberState::Left); }, Seconds(8)));
+    REQUIRE(fleet.sum(&Membership::Stats::deaths) == 0);
+}
+
+TEST_CASE("a configuration version learnt by one node per failure domain reaches all within 6 s")
+{
+    for (const std::uint32_t quota : { 0u, 3u }) {
+        Membership::Limits limits;
+        limits.forwardQuota = quota;
+        Fleet fleet({ 60, 5, seed, limits });
+        fleet.run(Seconds(5));
+        for (std::size_t node = 0; node < 5; ++node)
+            fleet.setVersion(node, Offset { 77 });
+        const auto known = [&] {
+            return std::ranges::all_of(fleet.nodes, [](auto& node) { return node.version == Offset { 77 }; });
+        };
+        REQUIRE(fleet.runUntil(known, Seconds(6)));
+        REQUIRE(fleet.nodes[17].membership->newestVersion()->version == Offset { 77 });
+    }
+}
