--- /dev/null
+++ b/include/peridotramp/endpointpool.h
@@ -0,0 +1,523 @@
+#pragma once
+
+#include "peridotramp/core.h"
+
+#include <deque>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace peridotramp {
+
+/// Endpoints that can stand in for each other; they share a retry budget and a normal first-token latency.
+using EndpointGroupId = Id<struct EndpointGroupTag>;
+using PermitId = Id<struct PermitTag>;
+using OrderId = Id<struct OrderTag>;
+/// Identifies one start of an engine process. A changed value means that the engine lost its memory.
+using EngineStart = Id<struct EngineStartTag>;
+using SlotCount = Quantity<struct SlotCountTag>;
+
+enum class EndpointKind : std::uint8_t { Engine, Service, Count };
+enum class EndpointState : std::uint8_t { Cold, Warm, Suspect, Leaving, Gone, Count };
+/// Whether an endpoint refuses orders that carry an old fencing token.
+enum class Fencing : std::uint8_t { Obeyed, Ignored, Count };
+enum class DomainState : std::uint8_t { In, Out, Count };
+
+std::string_view toString(EndpointState state);
+
+/// What the configuration says about one endpoint.
+struct EndpointDescription {
+    EndpointId endpoint;
+    DomainId domain;
+    EndpointGroupId group;
+    EndpointKind kind = EndpointKind::Engine;
+    /// Models that the engine serves; empty for a service.
+    std::vector<ModelId> models {};
+    /// Largest number of calls that the endpoint runs at once, at least 1.
+    SlotCount slots { 1 };
+    /// False when an operator takes the endpoint out of service.
+    bool inService = true;
+    Fencing fencing = Fencing::Obeyed;
+};
+
+/// Why a permit was refused.
+enum class PermitRefusal : std::uint8_t {
+    UnknownEndpoint,
+    LeaseLapsed,
+    Leaving,
+    Gone,
+    DomainOutOfService,
+    WindowFull,
+    BreakerOpen,
+    NotRetryable,
+    TooManyAttempts,
+    RetryBudgetSpent,
+    Count
+};
+
+std::string_view toString(PermitRefusal refusal);
+
+/// A request to run one call on one endpoint. A repeated request with the same holder, call and attempt gets the same
+/// permit, so the request may be sent again when its answer was lost.
+struct EndpointPermitRequest {
+    EndpointId endpoint;
+    NodeId holder;
+    Incarnation incarnation;
+    CallId call;
+    /// 0 for the first attempt, then 1 and 2.
+    std::int32_t attempt = 0;
+    /// The call is idempotent, or the earlier attempt was proved not run.
+    bool retryable = false;
+    /// Time after which the holder has certainly ended the call; the permit is reclaimed after it.
+    Duration longestRun = Seconds(600);
+};
+
+/// Leave to run one call on one endpoint.
+struct EndpointPermit {
+    PermitId permit;
+    EndpointId endpoint;
+    /// Epoch of the owner that granted the permit.
+    Epoch epoch;
+    TimePoint granted {};
+};
+
+/// A permit, or the reason of its refusal.
+struct PermitAnswer {
+    std::optional<EndpointPermit> permit {};
+    PermitRefusal refusal = PermitRefusal::Count;
+    /// Time after which a repeated request can succeed; zero when it is not known.
+    Milliseconds retryAfter { 0 };
+
+    explicit operator bool() const { return this->permit.has_value(); }
+    /// Returns the refusal as an error with outcome `NotRun`, as nothing was sent to the endpoint.
+    Error error() const;
+};
+
+/// How a call on an endpoint ended.
+enum class EndpointResult : std::uint8_t {
+    Succeeded,
+    /// The endpoint answered that it takes no work now.
+    Refused,
+    /// Connection failure, broken stream, server error or time-out.
+    Failed,
+    /// Ended by the caller; says nothing about the endpoint.
+    Cancelled,
+    Count
+};
+
+/// What the holder of a permit observed.
+struct CallReport {
+    EndpointResult result = EndpointResult::Succeeded;
+    /// Time from the request to its first token; empty when there was none.
+    std::optional<Duration> firstToken {};
+    /// Prompt tokens that the engine had to process, for which a longer first-token latency is normal.
+    TokenCount uncachedTokens {};
+};
+
+/// Load that an engine reports about itself, some time after it measured it.
+struct LoadReport {
+    EndpointId endpoint;
+    EngineStart start;
+    TimePoint measuredAt {};
+    SlotCount running {};
+    SlotCount queued {};
+};
+
+/// State of an endpoint that a planned handover passes to the successor.
+struct EndpointHandover {
+    struct Held {
+        EndpointPermit permit;
+        EndpointPermitRequest request;
+    };
+
+    EndpointId endpoint;
+    EndpointState state = EndpointState::Cold;
+    SlotCount window { 1 };
+    std::vector<Held> held {};
+};
+
+/// Concurrency windows, circuit breakers and retry budgets of the endpoints that this process owns.
+///
+/// The owner of an endpoint's partition keeps it here and renews its authority from the partition lease.
+/// Single-threaded.
+class EndpointPool {
+public:
+    using Permit = EndpointPermit;
+
+    struct Limits {
+        std::size_t endpoints = 4096;
+        std::size_t permitsPerEndpoint = 4096;
+        /// Retries of one call.
+        std::int32_t retriesPerCall = 2;
+    };
+
+    struct Init {
+        Limits limits {};
+        /// Retries that each first attempt allows its group.
+        double retryShare = 0.1;
+        /// Largest number of retries that a group can save up.
+        double retryReserve = 10;
+        /// Time in which an unused retry allowance falls to 1/e.
+        Duration retryMemory = Seconds(10);
+        /// Consecutive failures that open the breaker.
+        std::int32_t breakerFailures = 5;
+        Duration breakerOpenLeast = Seconds(1);
+        Duration breakerOpenMost = Seconds(30);
+        /// Consecutive successes after which the breaker forgets that it was open.
+        std::int32_t breakerReset = 10;
+        /// A first token that takes this many times the normal latency is a sign of a cold endpoint.
+        double coldFactor = 4;
+        /// First-token latency below which an endpoint is never taken for cold.
+        Duration coldLeast = Milliseconds(200);
+        /// Normal first-token latency of a group until it has been observed.
+        Duration firstTokenPrior = Milliseconds(500);
+        /// Uncached prompt tokens that add one normal first-token latency.
+        TokenCount tokensPerLatency { 2000 };
+        /// Successes at normal latency that make a cold endpoint warm.
+        std::int32_t successesToWarm = 2;
+        /// Time for which the permits of a dead holder count, unless the engine shows earlier that its calls ended.
+        Duration deadHolderHold = Seconds(30);
+        /// Time after `longestRun` until a permit is reclaimed.
+        Duration reclaimMargin = Seconds(5);
+        /// Longest lag of a load report; older reports are ignored.
+        Duration reportLag = Seconds(10);
+        /// Share of the slots that an endpoint may use this long after its failure domain came back.
+        std::function<double(Duration sinceReturn)> domainRamp {};
+    };
+
+    struct Stats {
+        std::uint64_t granted = 0;
+        std::uint64_t repeated = 0;
+        std::uint64_t released = 0;
+        /// Releases of permits that this owner does not know.
+        std::uint64_t staleReleases = 0;
+        std::uint64_t reclaimed = 0;
+        std::uint64_t coldSigns = 0;
+        std::uint64_t breakerOpened = 0;
+        std::uint64_t firstAttempts = 0;
+        std::uint64_t retries = 0;
+        std::uint64_t staleReports = 0;
+        std::array<std::uint64_t, static_cast<std::size_t>(PermitRefusal::Count)> refusals {};
+    };
+
+    /// What the pool knows of one endpoint.
+    struct View {
+        EndpointDescription description;
+        EndpointState state = EndpointState::Gone;
+        SlotCount window { 1 };
+        /// Permits that are given out.
+        SlotCount held {};
+        /// Calls of others that the engine reported.
+        SlotCount foreign {};
+        /// Permits that can be given out now.
+        SlotCount room {};
+        bool breakerOpen = false;
+        Duration normalFirstToken {};
+    };
+
+    EndpointPool();
+    explicit EndpointPool(Init init);
+
+    /// Adds or changes one endpoint. An endpoint that is new here starts cold. A model or slot change takes effect at
+    /// once; `inService == false` makes it leave. Fails with `Overloaded` beyond the limit.
+    Status configure(TimePoint now, const EndpointDescription& description);
+    /// Marks an endpoint as gone: it is no longer configured. It is forgotten when its last permit is released.
+    void remove(TimePoint now, EndpointId endpoint);
+    /// Takes a failure domain out of service or returns it.
+    void setDomain(TimePoint now, DomainId domain, DomainState state);
+
+    /// Begins ownership under a new epoch: without `handover` the endpoint starts cold with window 1.
+    void own(TimePoint now, EndpointId endpoint, Epoch epoch, TimePoint leaseUntil,
+        const std::optional<EndpointHandover>& handover = std::nullopt);
+    /// Extends the time until which permits may be granted.
+    void renew(EndpointId endpoint, Epoch epoch, TimePoint leaseUntil);
+    /// Ends ownership and returns the state for a successor; later requests are refused with `LeaseLapsed`.
+    std::optional<EndpointHandover> handOver(TimePoint now, EndpointId endpoint);
+
+    /// Grants a permit or says why not.
+    PermitAnswer tryAcquire(TimePoint now, const EndpointPermitRequest& request);
+    /// Returns a permit with what was observed. A repeated or unknown release changes nothing.
+    void release(TimePoint now, const EndpointPermit& permit, const CallReport& report);
+    /// Takes a load report; late ones are ignored.
+    void applyReport(TimePoint now, const LoadReport& report);
+    /// Tells that all earlier incarnations of a node are dead. Their permits stay counted until the engine shows that
+    /// the calls ended or `deadHolderHold` has passed.
+    void holderDead(TimePoint now, NodeId holder, Incarnation newestDead);
+    /// Reclaims permits whose time has passed. Call it about once a second.
+    void tick(TimePoint now);
+
+    std::optional<View> view(TimePoint now, EndpointId endpoint) const;
+    std::vector<EndpointId> endpoints() const;
+    const Stats& stats() const { return this->counters; }
+
+private:
+    struct HeldPermit {
+        EndpointPermit permit;
+        EndpointPermitRequest request;
+        TimePoint reclaimAt {};
+        /// Set when the holder is known to be dead.
+        std::optional<TimePoint> holderDied {};
+    };
+    struct Breaker {
+        std::int32_t failures = 0;
+        std::int32_t successes = 0;
+        bool open = false;
+        TimePoint openUntil {};
+        Duration openFor {};
+        std::optional<PermitId> trial {};
+    };
+    struct Endpoint {
+        EndpointDescription description;
+        EndpointState state = EndpointState::Cold;
+        Epoch epoch {};
+        TimePoint leaseUntil {};
+        bool owned = false;
+        std::int64_t window = 1;
+        std::int32_t warmSuccesses = 0;
+        Breaker breaker {};
+        std::map<PermitId, HeldPermit> held {};
+        EngineStart start {};
+        std::optional<TimePoint> newestReport {};
+        std::int64_t foreign = 0;
+        TimePoint foreignUntil {};
+        std::int64_t peakHeld = 0;
+        std::int64_t earlierPeakHeld = 0;
+        TimePoint peakSince {};
+    };
+    struct Group {
+        double retryAllowance = 0;
+        TimePoint decayedAt {};
+        /// Normal first-token latency in seconds per unit of prompt; zero until observed.
+        double normal = 0;
+    };
+    struct Domain {
+        DomainState state = DomainState::In;
+        std::optional<TimePoint> returnedAt {};
+    };
+
+    Endpoint* find(EndpointId endpoint);
+    std::optional<PermitRefusal> refusalOf(TimePoint now, const Endpoint& endpoint) const;
+    std::optional<PermitRefusal> spendAttempt(
+        TimePoint now, const Endpoint& endpoint, const EndpointPermitRequest& request);
+    PermitAnswer refuse(PermitRefusal reason, Duration retryAfter);
+    PermitAnswer grant(TimePoint now, Endpoint& endpoint, const EndpointPermitRequest& request);
+    std::int64_t room(TimePoint now, const Endpoint& endpoint) const;
+    double domainShare(TimePoint now, DomainId domain) const;
+    Group& decayedGroup(TimePoint now, EndpointGroupId group);
+    Duration normalFirstToken(EndpointGroupId group, TokenCount uncached) const;
+    bool isColdLatency(const Endpoint& endpoint, const CallReport& report) const;
+    void learnLatency(const Endpoint& endpoint, const CallReport& report);
+    void observeSuccess(Endpoint& endpoint, const CallReport& report);
+    void observeFailure(TimePoint now, Endpoint& endpoint, bool refused);
+    void makeCold(Endpoint& endpoint);
+    void trackPeak(TimePoint now, Endpoint& endpoint);
+    void reclaimIf(Endpoint& endpoint, const std::function<bool(const HeldPermit&)>& due);
+    void forgetIfGone(EndpointId endpoint);
+
+    Init init;
+    Stats counters {};
+    std::uint64_t nextPermit = 0;
+    std::unordered_map<EndpointId, Endpoint> byId {};
+    std::unordered_map<EndpointGroupId, Group> groups {};
+    std::unordered_map<DomainId, Domain> domains {};
+};
+
+/// The engine drops the cached prefix of a program. Programs' ids are never used again, so a late order does no harm.
+struct ReleaseProgram {
+    ProgramId program;
+    bool operator==(const ReleaseProgram&) const = default;
+};
+
+/// The engine holds the cached prefix of a program, imported from another engine if it has none.
+struct HoldProgram {
+    ProgramId program;
+    EndpointId source;
+    TokenCount tokens {};
+    bool operator==(const HoldProgram&) const = default;
+};
+
+/// The engine serves exactly these models.
+struct ServeModels {
+    std::vector<ModelId> models {};
+    bool operator==(const ServeModels&) const = default;
+};
+
+using WantedState = std::variant<ReleaseProgram, HoldProgram, ServeModels>;
+
+/// An order to an engine. It names the wanted state and not a step, so it may arrive late or repeatedly.
+struct Order {
+    OrderId order;
+    EndpointId endpoint;
+    /// Fencing token: the epoch of the endpoint's owner.
+    Epoch epoch;
+    WantedState wanted {};
+};
+
+/// Models that each engine should serve, ordered until the engine's own report agrees.
+class OrderBook {
+public:
+    struct Init {
+        /// Time until an order without effect is sent again.
+        Duration repeatAfter = Seconds(2);
+    };
+
+    struct Stats {
+        std::uint64_t sent = 0;
+        std::uint64_t repeated = 0;
+        /// Orders issued anew because a report showed another state, for example after a late order of an old owner.
+        std::uint64_t corrected = 0;
+    };
+
+    OrderBook();
+    explicit OrderBook(Init init);
+
+    /// Sets the wanted models under an epoch. A smaller epoch than the current one is ignored.
+    void want(EndpointId endpoint, Epoch epoch, std::vector<ModelId> models);
+    /// Takes what the engine serves, as measured at `measuredAt`.
+    void applyReport(EndpointId endpoint, TimePoint measuredAt, std::vector<ModelId> models);
+    /// Stops all orders to an endpoint, for example when its ownership ends.
+    void forget(EndpointId endpoint);
+    /// Returns the orders to send now.
+    std::vector<Order> dueOrders(TimePoint now);
+    /// Returns whether the newest report agrees with the wanted models.
+    bool isSettled(EndpointId endpoint) const;
+    const Stats& stats() const { return this->counters; }
+
+private:
+    struct Entry {
+        Epoch epoch;
+        std::vector<ModelId> wanted {};
+        OrderId order {};
+        std::optional<TimePoint> sentAt {};
+        std::optional<TimePoint> reportedAt {};
+        bool settled = false;
+    };
+
+    Init init;
+    Stats counters {};
+    std::uint64_t sequence = 0;
+    std::map<EndpointId, Entry> entries {};
+};
+
+enum class KvEventKind : std::uint8_t { Stored, Evicted, Cleared, Count };
+
+/// A change of an engine's prefix cache.
+struct KvEvent {
+    /// Consecutive for one start of the engine, beginning with 1.
+    std::uint64_t sequence = 0;
+    KvEventKind kind = KvEventKind::Stored;
+    ProgramId program {};
+    /// Tokens held after the event.
+    TokenCount tokens {};
+};
+
+/// Everything that an engine's prefix cache holds.
+struct KvReport {
+    EndpointId endpoint;
+    EngineStart start;
+    /// The report covers the events up to this one.
+    std::uint64_t throughSequence = 0;
+    std::vector<std::pair<ProgramId, TokenCount>> held {};
+};
+
+/// Which program prefixes each engine holds: an estimate that late cache events and reports correct.
+///
+/// Prefixes of ended programs are released by orders that are repeated until the engine no longer lists them.
+class KvLedger {
+public:
+    struct Init {
+        Duration repeatAfter = Seconds(2);
+        /// Own estimates that no event or report has confirmed after this time are dropped.
+        Duration unconfirmedLife = Seconds(60);
+        /// Time for which the end of a program is remembered, so that late events do not revive its prefix.
+        Duration endedLife = Seconds(900);
+        std::size_t programsPerEndpoint = 65536;
+    };
+
+    struct Stats {
+        std::uint64_t eventsApplied = 0;
+        std::uint64_t eventsRepeated = 0;
+        /// Gaps in the event sequence; each asks for a full report.
+        std::uint64_t gaps = 0;
+        std::uint64_t reports = 0;
+        std::uint64_t ordersSent = 0;
+        std::uint64_t releasesConfirmed = 0;
+    };
+
+    KvLedger();
+    explicit KvLedger(Init init);
+
+    /// Begins the ledger of an endpoint under the owner's epoch; repeating it with a newer epoch keeps the contents.
+    void own(EndpointId endpoint, Epoch epoch);
+    /// Forgets an endpoint, for example when its ownership ends.
+    void forget(EndpointId endpoint);
+
+    /// Records that a call left `tokens` of the program's prefix on the engine. Unknown endpoints are ignored.
+    void recordUse(TimePoint now, EndpointId endpoint, ProgramId program, TokenCount tokens);
+    /// Applies cache events; repeated ones are ignored. Returns whether a full report is needed because of a gap.
+    bool applyEvents(TimePoint now, EndpointId endpoint, EngineStart start, std::span<const KvEvent> events);
+    /// Replaces the estimate by a full report. Returns the listed programs that nobody here has vouched for; the caller
+    /// finds out whether they live and answers with `programLives` or `programEnded`. Later reports ask again.
+    std::vector<ProgramId> reconcile(TimePoint now, const KvReport& report);
+    /// Confirms that a program lives, for example after its partition was replayed.
+    void programLives(ProgramId program);
+    /// Tells that a program ended, was abandoned, or is missing after a takeover.
+    void programEnded(TimePoint now, ProgramId program);
+    /// Asks for one prefix to be released although its program lives.
+    void dropPrefix(TimePoint now, EndpointId endpoint, ProgramId program);
+    /// Asks for a prefix to be imported from another engine.
+    void movePrefix(TimePoint now, EndpointId from, EndpointId to, ProgramId program);
+    /// Returns the orders to send now.
+    std::vector<Order> dueOrders(TimePoint now);
+    /// Drops estimates and remembered ends that are too old.
+    void tick(TimePoint now);
+
+    /// Returns the tokens of the program's prefix that the engine probably holds.
+    TokenCount held(EndpointId endpoint, ProgramId program) const;
+    /// Returns the endpoints that probably hold a prefix of the program.
+    std::vector<EndpointId> holders(ProgramId program) const;
+    /// Returns whether a report of the endpoint is needed because events were missed.
+    bool needsReport(EndpointId endpoint) const;
+    /// Returns the number of releases that no report has confirmed yet.
+    std::size_t pendingReleases() const;
+    const Stats& stats() const { return this->counters; }
+
+private:
+    struct Prefix {
+        TokenCount tokens {};
+        TimePoint updatedAt {};
+        bool confirmed = false;
+    };
+    struct Pending {
+        OrderId order {};
+        WantedState wanted {};
+        std::optional<TimePoint> sentAt {};
+    };
+    struct Engine {
+        Epoch epoch;
+        EngineStart start {};
+        std::uint64_t appliedThrough = 0;
+        bool reportNeeded = true;
+        std::unordered_map<ProgramId, Prefix> prefixes {};
+        std::map<ProgramId, Pending> pending {};
+    };
+
+    void setPrefix(EndpointId endpoint, Engine& engine, ProgramId program, const Prefix& prefix);
+    void erasePrefix(EndpointId endpoint, Engine& engine, ProgramId program);
+    void clear(EndpointId endpoint, Engine& engine);
+    void restart(EndpointId endpoint, Engine& engine, EngineStart start);
+    void applyEvent(TimePoint now, EndpointId endpoint, Engine& engine, const KvEvent& event);
+    void wantReleased(Engine& engine, ProgramId program);
+    void confirmReleases(Engine& engine, const KvReport& report);
+
+    Init init;
+    Stats counters {};
+    std::uint64_t sequence = 0;
+    std::map<EndpointId, Engine> engines {};
+    std::unordered_map<ProgramId, std::set<EndpointId>> holdersOf {};
+    std::unordered_set<ProgramId> live {};
+    std::unordered_map<ProgramId, TimePoint> ended {};
+};
+
+} // namespace peridotramp
--- /dev/null
+++ b/include/peridotramp/scheduling.h
@@ -0,0 +1,255 @@
+#pragma once
+
+#include "peridotramp/core.h"
+
+#include <set>
+#include <span>
+#include <unordered_map>
+
+namespace peridotramp {
+
+/// Tokens of one call.
+struct TokenUse {
+    /// Prompt tokens that the engine has to process.
+    TokenCount prefill {};
+    TokenCount output {};
+};
+
+/// A call that waits to be dispatched.
+struct QueuedCall {
+    CallId call;
+    ProgramId program;
+    WorkspaceId workspace;
+    ModelId model;
+    /// Failure domain of the program's partition.
+    DomainId domain;
+    TimePoint arrival {};
+    /// Time after which the caller no longer wants the answer.
+    std::optional<TimePoint> deadline {};
+    /// Service that the program has received along its critical path; see `ServiceLedger`.
+    Duration attained {};
+    /// Tokens of the program's history that a prefix cache can hold.
+    TokenCount history {};
+    /// Expected use, which is charged at dispatch and corrected by `FairQueue::correct`.
+    TokenUse expected {};
+};
+
+/// What placement knows of an endpoint.
+struct EndpointView {
+    EndpointId endpoint;
+    DomainId domain;
+    /// Expected time until the endpoint would start another call.
+    Duration queueWait {};
+    /// Time that the endpoint needs for 1,000 uncached prompt tokens.
+    Duration prefillPerThousand = Milliseconds(100);
+    /// Tokens of the call's history that the endpoint's prefix cache probably holds.
+    TokenCount held {};
+    /// Share of normal load that the endpoint's failure domain takes, from 0 (out of service) to 1; see `rampHook`.
+    double share = 1;
+    /// False when the endpoint is leaving or its circuit breaker is open.
+    bool usable = true;
+};
+
+/// A program that waits for a tool while an engine holds its prefix.
+struct ToolPause {
+    ProgramId program;
+    TokenCount held {};
+    /// Time for which the pause is expected to last.
+    Duration expected {};
+    /// Time to compute the prefix again.
+    Duration recompute {};
+    /// Share of the engine's prefix memory that is in use, from 0 to 1.
+    double memoryUsed = 0;
+    /// The endpoint or its failure domain is leaving service.
+    bool leaving = false;
+};
+
+enum class Retention : std::uint8_t { Keep, Move, Release, Count };
+
+/// A failure domain that leaves or returns.
+struct DomainMove {
+    bool leaving = false;
+    Duration sinceChange {};
+};
+
+/// The hooks by which scheduling varies. Hooks are called without a lock held and must not block.
+struct Policy {
+    std::string name;
+    /// Returns the time by which calls are ordered; the earliest goes first. It is fixed when the call is queued.
+    std::function<TimePoint(const QueuedCall&)> orderHook;
+    /// Returns the charge of a call to its workspace in virtual tokens; zero for no fairness.
+    std::function<double(const TokenUse&)> fairnessHook;
+    /// Returns one of the endpoints, none of which is unusable; there is at least one.
+    std::function<EndpointId(const QueuedCall&, std::span<const EndpointView>)> placementHook;
+    std::function<Retention(const ToolPause&)> retentionHook;
+    /// Returns how many calls may run at once on an endpoint with this window.
+    std::function<std::int64_t(std::int64_t window)> admissionHook;
+    /// Returns the share of normal load for a failure domain, from 0 to 1.
+    std::function<double(const DomainMove&)> rampHook;
+    /// Virtual tokens by which a workspace may be ahead of another before its calls have to wait.
+    double fairnessQuantum = 1;
+};
+
+/// Weights of the section `[policy]`, each from 0 to 1.
+struct PolicyWeights {
+    double fairness = 0.5;
+    double locality = 0.5;
+    double programOrder = 0.5;
+};
+
+/// FIFO, no fairness, round robin, keep, dispatch on arrival, moves at once.
+Policy baselinePolicy();
+/// Fairness between workspaces and few refusals first.
+Policy kalahariPolicy();
+/// Program latency and service while failure domains move first.
+Policy longgrassPolicy();
+Policy policyFromWeights(const PolicyWeights& weights);
+/// Returns the weights of the preset `kalahari` or `longgrass`; empty for any other name.
+std::optional<PolicyWeights> presetWeights(std::string_view preset);
+
+/// Queue of the calls for one endpoint or group of endpoints, ordered by workspace counter and program order.
+///
+/// All operations are O(log n) in the entries and workspaces. Single-threaded.
+class FairQueue {
+public:
+    struct Limits {
+        std::size_t entries = 65536;
+    };
+
+    struct Init {
+        Policy policy = kalahariPolicy();
+        Limits limits {};
+    };
+
+    struct Stats {
+        std::uint64_t pushed = 0;
+        std::uint64_t popped = 0;
+        std::uint64_t cancelled = 0;
+        std::uint64_t expired = 0;
+        std::uint64_t refused = 0;
+    };
+
+    FairQueue();
+    explicit FairQueue(Init init);
+
+    /// Queues a call. Fails with `Overloaded` at the limit, `DeadlineExceeded` when its deadline has passed, and
+    /// `CallInProgress` when the call is queued already; all three with outcome `NotRun`.
+    Status push(TimePoint now, const QueuedCall& call);
+    /// Removes the call that goes next and charges its workspace; empty when none waits.
+    std::optional<QueuedCall> pop(TimePoint now);
+    /// Removes a call that its caller no longer wants. Returns whether it was queued.
+    bool cancel(CallId call);
+    /// Removes all calls whose deadline has passed.
+    std::vector<QueuedCall> takeExpired(TimePoint now);
+    /// Sets a workspace's weight, which must be positive; the default is 1.
+    void setWeight(WorkspaceId workspace, double weight);
+    /// Replaces the charge of a dispatched call by its actual use.
+    void correct(WorkspaceId workspace, const TokenUse& expected, const TokenUse& actual);
+
+    std::size_t size() const { return this->entries.size(); }
+    bool isEmpty() const { return this->entries.empty(); }
+    std::size_t size(WorkspaceId workspace) const;
+    /// Returns the expected use of all waiting calls.
+    TokenUse expectedUse() const { return this->waiting; }
+    /// Returns the virtual tokens that the workspace has been charged, divided by its weight.
+    double counter(WorkspaceId workspace) const;
+    const Stats& stats() const { return this->counters; }
+
+private:
+    struct Place {
+        TimePoint order {};
+        std::uint64_t sequence = 0;
+        CallId call;
+        auto operator<=>(const Place&) const = default;
+    };
+    struct Turn {
+        double level = 0;
+        Place head {};
+        WorkspaceId workspace;
+        auto operator<=>(const Turn&) const = default;
+    };
+    struct Entry {
+        QueuedCall call;
+        Place place;
+    };
+    struct Workspace {
+        double counter = 0;
+        double weight = 1;
+        std::set<Place> calls {};
+        std::optional<Turn> turn {};
+    };
+
+    void requeue(WorkspaceId workspace, Workspace& state);
+    void liftToActive(Workspace& state);
+    QueuedCall take(std::unordered_map<CallId, Entry>::iterator entry);
+
+    Init init;
+    Stats counters {};
+    TokenUse waiting {};
+    std::uint64_t sequence = 0;
+    /// Counter of the workspace that was served last; a workspace that returns from idleness starts no lower.
+    double served = 0;
+    std::unordered_map<CallId, Entry> entries {};
+    std::unordered_map<WorkspaceId, Workspace> workspaces {};
+    std::set<Turn> turns {};
+    std::set<std::pair<TimePoint, CallId>> deadlines {};
+};
+
+/// Chooses an endpoint for a call: the policy's choice among the usable endpoints whose failure domain has a share for
+/// the call's program. Returns an invalid id when no endpoint is usable.
+EndpointId place(const Policy& policy, const QueuedCall& call, std::span<const EndpointView> endpoints);
+
+/// Endpoints of one model, kept in order of queue wait, so that placement need not look at the whole fleet.
+class PlacementIndex {
+public:
+    struct Init {
+        /// Endpoints with the shortest wait that are considered in the call's failure domain and in all of them.
+        std::size_t shortlist = 3;
+    };
+
+    PlacementIndex();
+    explicit PlacementIndex(Init init);
+
+    /// Adds or replaces an endpoint; its `held` is ignored.
+    void update(const EndpointView& view);
+    void remove(EndpointId endpoint);
+    std::size_t size() const { return this->views.size(); }
+    /// Chooses among the endpoints that hold a prefix and those with the shortest waits. O(log n) in the endpoints.
+    EndpointId place(
+        const Policy& policy, const QueuedCall& call, std::span<const std::pair<EndpointId, TokenCount>> holders) const;
+
+private:
+    using Order = std::set<std::pair<Duration, EndpointId>>;
+
+    void addShortest(const Order& order, std::vector<EndpointView>& candidates) const;
+
+    Init init;
+    std::unordered_map<EndpointId, EndpointView> views {};
+    Order all {};
+    std::unordered_map<DomainId, Order> byDomain {};
+};
+
+/// Service that programs have received along their critical paths.
+///
+/// A sub-agent inherits what its parent had received when it began; when it ends, the parent has received at least what
+/// the sub-agent had. Parallel sub-agents therefore count once.
+class ServiceLedger {
+public:
+    void begin(ProgramId program, std::optional<ProgramId> parent);
+    void add(ProgramId program, Duration service);
+    /// Ends a program. Unknown programs are ignored.
+    void end(ProgramId program);
+    /// Returns zero for unknown programs.
+    Duration attained(ProgramId program) const;
+    std::size_t size() const { return this->programs.size(); }
+
+private:
+    struct State {
+        Duration attained {};
+        std::optional<ProgramId> parent {};
+    };
+
+    std::unordered_map<ProgramId, State> programs {};
+};
+
+} // namespace peridotramp
