Add endpointpool and scheduling with their failure tests

Change: EndpointPool (windows, breaker, retry budget, lagging reports, handover, dead holders), OrderBook, KvLedger, FairQueue, placement with an index, ServiceLedger, the baseline and the two presets.

--- a/include/peridotramp/endpointpool.h
+++ b/include/peridotramp/endpointpool.h
@@ -14,7 +14,8 @@
 using EndpointGroupId = Id<struct EndpointGroupTag>;
 using PermitId = Id<struct PermitTag>;
 using OrderId = Id<struct OrderTag>;
-/// Identifies one start of an engine process. A changed value means that the engine lost its memory.
+/// Identifies one start of an engine process; a later start has a greater value. An engine that starts has lost its
+/// memory.
 using EngineStart = Id<struct EngineStartTag>;
 using SlotCount = Quantity<struct SlotCountTag>;
 
@@ -159,7 +160,7 @@
         /// Largest number of retries that a group can save up.
         double retryReserve = 10;
         /// Time in which an unused retry allowance falls to 1/e.
-        Duration retryMemory = Seconds(10);
+        Duration retryMemory = Seconds(60);
         /// Consecutive failures that open the breaker.
         std::int32_t breakerFailures = 5;
         Duration breakerOpenLeast = Seconds(1);
@@ -389,6 +390,7 @@
         Epoch epoch;
         std::vector<ModelId> wanted {};
         OrderId order {};
+        std::optional<TimePoint> firstSentAt {};
         std::optional<TimePoint> sentAt {};
         std::optional<TimePoint> reportedAt {};
         bool settled = false;
@@ -442,7 +444,7 @@
         std::uint64_t gaps = 0;
         std::uint64_t reports = 0;
         std::uint64_t ordersSent = 0;
-        std::uint64_t releasesConfirmed = 0;
+        std::uint64_t ordersConfirmed = 0;
     };
 
     KvLedger();
@@ -492,6 +494,7 @@
     struct Pending {
         OrderId order {};
         WantedState wanted {};
+        TimePoint wantedAt {};
         std::optional<TimePoint> sentAt {};
     };
     struct Engine {
@@ -508,7 +511,7 @@
     void clear(EndpointId endpoint, Engine& engine);
     void restart(EndpointId endpoint, Engine& engine, EngineStart start);
     void applyEvent(TimePoint now, EndpointId endpoint, Engine& engine, const KvEvent& event);
-    void wantReleased(Engine& engine, ProgramId program);
+    void wantReleased(TimePoint now, Engine& engine, ProgramId program);
     void confirmReleases(Engine& engine, const KvReport& report);
 
     Init init;
--- a/include/peridotramp/scheduling.h
+++ b/include/peridotramp/scheduling.h
@@ -187,7 +187,7 @@
     Stats counters {};
     TokenUse waiting {};
     std::uint64_t sequence = 0;
-    /// Counter of the workspace that was served last; a workspace that returns from idleness starts no lower.
+    /// Highest counter level that was served; a workspace that returns from idleness starts no lower.
     double served = 0;
     std::unordered_map<CallId, Entry> entries {};
     std::unordered_map<WorkspaceId, Workspace> workspaces {};
--- /dev/null
+++ b/src/decisions/endpointpool/kvledger.cpp
@@ -0,0 +1,279 @@
+#include "endpointpool_p.h"
+
+#include <algorithm>
+
+namespace peridotramp {
+
+KvLedger::KvLedger()
+    : KvLedger(Init {})
+{
+}
+
+KvLedger::KvLedger(Init init)
+    : init(init)
+{
+}
+
+void KvLedger::own(EndpointId endpoint, Epoch epoch)
+{
+    auto& engine = this->engines[endpoint];
+    if (!engine.epoch.isValid() || engine.epoch < epoch)
+        engine.epoch = epoch;
+}
+
+void KvLedger::forget(EndpointId endpoint)
+{
+    const auto found = this->engines.find(endpoint);
+    if (found == this->engines.end())
+        return;
+    this->clear(endpoint, found->second);
+    this->engines.erase(found);
+}
+
+void KvLedger::setPrefix(EndpointId endpoint, Engine& engine, ProgramId program, const Prefix& prefix)
+{
+    if (prefix.tokens.value <= 0) {
+        this->erasePrefix(endpoint, engine, program);
+        return;
+    }
+    if (!engine.prefixes.contains(program) && engine.prefixes.size() >= this->init.programsPerEndpoint)
+        return;
+    engine.prefixes[program] = prefix;
+    this->holdersOf[program].insert(endpoint);
+}
+
+void KvLedger::erasePrefix(EndpointId endpoint, Engine& engine, ProgramId program)
+{
+    if (engine.prefixes.erase(program) == 0)
+        return;
+    const auto holders = this->holdersOf.find(program);
+    holders->second.erase(endpoint);
+    if (holders->second.empty())
+        this->holdersOf.erase(holders);
+}
+
+void KvLedger::clear(EndpointId endpoint, Engine& engine)
+{
+    while (!engine.prefixes.empty())
+        this->erasePrefix(endpoint, engine, engine.prefixes.begin()->first);
+}
+
+void KvLedger::restart(EndpointId endpoint, Engine& engine, EngineStart start)
+{
+    this->clear(endpoint, engine);
+    engine.start = start;
+    engine.appliedThrough = 0;
+}
+
+void KvLedger::wantReleased(TimePoint now, Engine& engine, ProgramId program)
+{
+    const auto found = engine.pending.find(program);
+    if (found == engine.pending.end() || !std::holds_alternative<ReleaseProgram>(found->second.wanted))
+        engine.pending.insert_or_assign(program, Pending { {}, ReleaseProgram { program }, now });
+}
+
+void KvLedger::recordUse(TimePoint now, EndpointId endpoint, ProgramId program, TokenCount tokens)
+{
+    const auto found = this->engines.find(endpoint);
+    if (found == this->engines.end())
+        return;
+    // The last answer of an ended program can arrive after its end; its prefix is released like the others.
+    if (this->ended.contains(program)) {
+        this->wantReleased(now, found->second, program);
+        return;
+    }
+    this->live.insert(program);
+    found->second.pending.erase(program);
+    this->setPrefix(endpoint, found->second, program, { tokens, now, false });
+}
+
+void KvLedger::applyEvent(TimePoint now, EndpointId endpoint, Engine& engine, const KvEvent& event)
+{
+    switch (event.kind) {
+    case KvEventKind::Stored:
+    case KvEventKind::Evicted:
+        this->setPrefix(endpoint, engine, event.program, { event.tokens, now, true });
+        if (event.tokens.value > 0 && this->ended.contains(event.program))
+            this->wantReleased(now, engine, event.program);
+        break;
+    case KvEventKind::Cleared:
+        this->clear(endpoint, engine);
+        break;
+    default:
+        break;
+    }
+}
+
+bool KvLedger::applyEvents(TimePoint now, EndpointId endpoint, EngineStart start, std::span<const KvEvent> events)
+{
+    const auto found = this->engines.find(endpoint);
+    if (found == this->engines.end())
+        return false;
+    auto& engine = found->second;
+    if (engine.start.isValid() && start < engine.start)
+        return engine.reportNeeded;
+    if (engine.start != start)
+        this->restart(endpoint, engine, start);
+    for (const auto& event : events) {
+        if (event.sequence <= engine.appliedThrough) {
+            ++this->counters.eventsRepeated;
+            continue;
+        }
+        if (event.sequence != engine.appliedThrough + 1) {
+            ++this->counters.gaps;
+            engine.reportNeeded = true;
+        }
+        engine.appliedThrough = event.sequence;
+        ++this->counters.eventsApplied;
+        this->applyEvent(now, endpoint, engine, event);
+    }
+    return engine.reportNeeded;
+}
+
+void KvLedger::confirmReleases(Engine& engine, const KvReport& report)
+{
+    std::unordered_set<ProgramId> listed;
+    for (const auto& [program, tokens] : report.held)
+        listed.insert(program);
+    this->counters.ordersConfirmed += std::erase_if(engine.pending, [&](const auto& entry) {
+        const auto& [program, pending] = entry;
+        const bool isRelease = std::holds_alternative<ReleaseProgram>(pending.wanted);
+        return pending.sentAt && isRelease != listed.contains(program);
+    });
+}
+
+std::vector<ProgramId> KvLedger::reconcile(TimePoint now, const KvReport& report)
+{
+    const auto found = this->engines.find(report.endpoint);
+    if (found == this->engines.end())
+        return {};
+    auto& engine = found->second;
+    const bool isOld = engine.start.isValid()
+        && (report.start < engine.start
+            || (report.start == engine.start && report.throughSequence < engine.appliedThrough));
+    if (isOld)
+        return {};
+    ++this->counters.reports;
+    if (engine.start != report.start)
+        this->restart(report.endpoint, engine, report.start);
+    engine.appliedThrough = report.throughSequence;
+    engine.reportNeeded = false;
+    this->clear(report.endpoint, engine);
+    std::vector<ProgramId> unknown;
+    for (const auto& [program, tokens] : report.held) {
+        this->setPrefix(report.endpoint, engine, program, { tokens, now, true });
+        if (this->ended.contains(program))
+            this->wantReleased(now, engine, program);
+        else if (!this->live.contains(program))
+            unknown.push_back(program);
+    }
+    this->confirmReleases(engine, report);
+    return unknown;
+}
+
+void KvLedger::programLives(ProgramId program)
+{
+    if (!this->ended.contains(program))
+        this->live.insert(program);
+}
+
+void KvLedger::programEnded(TimePoint now, ProgramId program)
+{
+    this->live.erase(program);
+    this->ended.emplace(program, now);
+    for (auto& [endpoint, engine] : this->engines) {
+        if (engine.prefixes.contains(program) || engine.pending.contains(program))
+            this->wantReleased(now, engine, program);
+        this->erasePrefix(endpoint, engine, program);
+    }
+}
+
+void KvLedger::dropPrefix(TimePoint now, EndpointId endpoint, ProgramId program)
+{
+    const auto found = this->engines.find(endpoint);
+    if (found == this->engines.end())
+        return;
+    this->wantReleased(now, found->second, program);
+    this->erasePrefix(endpoint, found->second, program);
+}
+
+void KvLedger::movePrefix(TimePoint now, EndpointId from, EndpointId to, ProgramId program)
+{
+    const auto target = this->engines.find(to);
+    const auto tokens = this->held(from, program);
+    if (target == this->engines.end() || tokens.value == 0 || this->ended.contains(program))
+        return;
+    target->second.pending[program] = Pending { {}, HoldProgram { program, from, tokens }, now };
+    this->setPrefix(to, target->second, program, { tokens, now, false });
+}
+
+std::vector<Order> KvLedger::dueOrders(TimePoint now)
+{
+    std::vector<Order> orders;
+    for (auto& [endpoint, engine] : this->engines) {
+        for (auto& [program, pending] : engine.pending) {
+            if (pending.sentAt && now - *pending.sentAt < this->init.repeatAfter)
+                continue;
+            // A release that was sent and has had no effect gets a new id, because an engine may drop repeated ids.
+            if (!pending.order.isValid() || pending.sentAt)
+                pending.order = numberedId<OrderId>(IdSource::Prefixes, endpoint, engine.epoch, this->sequence++);
+            pending.sentAt = now;
+            ++this->counters.ordersSent;
+            orders.push_back({ pending.order, endpoint, engine.epoch, pending.wanted });
+        }
+    }
+    return orders;
+}
+
+void KvLedger::tick(TimePoint now)
+{
+    for (auto& [endpoint, engine] : this->engines) {
+        std::vector<ProgramId> old;
+        for (const auto& [program, prefix] : engine.prefixes) {
+            if (!prefix.confirmed && now - prefix.updatedAt >= this->init.unconfirmedLife)
+                old.push_back(program);
+        }
+        // An import whose source has lost the prefix can never succeed.
+        std::erase_if(engine.pending, [&](const auto& entry) {
+            const bool isImport = std::holds_alternative<HoldProgram>(entry.second.wanted);
+            return isImport && now - entry.second.wantedAt >= this->init.unconfirmedLife;
+        });
+        std::ranges::for_each(old, [&](ProgramId program) { this->erasePrefix(endpoint, engine, program); });
+    }
+    std::erase_if(this->ended, [&](const auto& entry) { return now - entry.second >= this->init.endedLife; });
+}
+
+TokenCount KvLedger::held(EndpointId endpoint, ProgramId program) const
+{
+    const auto engine = this->engines.find(endpoint);
+    if (engine == this->engines.end())
+        return {};
+    const auto prefix = engine->second.prefixes.find(program);
+    return prefix == engine->second.prefixes.end() ? TokenCount {} : prefix->second.tokens;
+}
+
+std::vector<EndpointId> KvLedger::holders(ProgramId program) const
+{
+    const auto found = this->holdersOf.find(program);
+    if (found == this->holdersOf.end())
+        return {};
+    return { found->second.begin(), found->second.end() };
+}
+
+bool KvLedger::needsReport(EndpointId endpoint) const
+{
+    const auto found = this->engines.find(endpoint);
+    return found != this->engines.end() && found->second.reportNeeded;
+}
+
+std::size_t KvLedger::pendingReleases() const
+{
+    std::size_t count = 0;
+    for (const auto& [endpoint, engine] : this->engines) {
+        count += static_cast<std::size_t>(std::ranges::count_if(engine.pending,
+            [](const auto& entry) { return std::holds_alternative<ReleaseProgram>(entry.second.wanted); }));
+    }
+    return count;
+}
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/decisions/scheduling/fairqueue.cpp
@@ -0,0 +1,133 @@
+#include "peridotramp/scheduling.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotramp {
+
+FairQueue::FairQueue()
+    : FairQueue(Init {})
+{
+}
+
+FairQueue::FairQueue(Init init)
+    : init(std::move(init))
+{
+}
+
+// A workspace that was idle must not claim the service that it did not ask for, and one that went idle while ahead of
+// the others keeps its lead.
+void FairQueue::liftToActive(Workspace& state) { state.counter = std::max(state.counter, this->served); }
+
+void FairQueue::requeue(WorkspaceId workspace, Workspace& state)
+{
+    if (state.turn)
+        this->turns.erase(*state.turn);
+    state.turn.reset();
+    if (state.calls.empty())
+        return;
+    const auto level = std::floor(state.counter / this->init.policy.fairnessQuantum);
+    state.turn = Turn { level, *state.calls.begin(), workspace };
+    this->turns.insert(*state.turn);
+}
+
+Status FairQueue::push(TimePoint now, const QueuedCall& call)
+{
+    const auto refuse = [this](ErrorKind kind) -> Status {
+        ++this->counters.refused;
+        return Error { kind, Outcome::NotRun };
+    };
+    if (this->entries.contains(call.call))
+        return refuse(ErrorKind::CallInProgress);
+    if (this->entries.size() >= this->init.limits.entries)
+        return refuse(ErrorKind::Overloaded);
+    if (call.deadline && *call.deadline <= now)
+        return refuse(ErrorKind::DeadlineExceeded);
+    const Place place { this->init.policy.orderHook(call), this->sequence++, call.call };
+    auto& state = this->workspaces[call.workspace];
+    if (state.calls.empty())
+        this->liftToActive(state);
+    state.calls.insert(place);
+    this->entries.emplace(call.call, Entry { call, place });
+    if (call.deadline)
+        this->deadlines.emplace(*call.deadline, call.call);
+    this->waiting.prefill += call.expected.prefill;
+    this->waiting.output += call.expected.output;
+    if (!state.turn || place < state.turn->head)
+        this->requeue(call.workspace, state);
+    ++this->counters.pushed;
+    return std::monostate {};
+}
+
+QueuedCall FairQueue::take(std::unordered_map<CallId, Entry>::iterator entry)
+{
+    const auto call = entry->second.call;
+    auto& state = this->workspaces.at(call.workspace);
+    state.calls.erase(entry->second.place);
+    if (call.deadline)
+        this->deadlines.erase({ *call.deadline, call.call });
+    this->waiting.prefill -= call.expected.prefill;
+    this->waiting.output -= call.expected.output;
+    this->entries.erase(entry);
+    this->requeue(call.workspace, state);
+    return call;
+}
+
+std::optional<QueuedCall> FairQueue::pop(TimePoint)
+{
+    if (this->turns.empty())
+        return std::nullopt;
+    const auto turn = *this->turns.begin();
+    auto& state = this->workspaces.at(turn.workspace);
+    this->served = std::max(this->served, turn.level * this->init.policy.fairnessQuantum);
+    const auto call = this->take(this->entries.find(turn.head.call));
+    state.counter += this->init.policy.fairnessHook(call.expected) / state.weight;
+    this->requeue(turn.workspace, state);
+    ++this->counters.popped;
+    return call;
+}
+
+bool FairQueue::cancel(CallId call)
+{
+    const auto found = this->entries.find(call);
+    if (found == this->entries.end())
+        return false;
+    this->take(found);
+    ++this->counters.cancelled;
+    return true;
+}
+
+std::vector<QueuedCall> FairQueue::takeExpired(TimePoint now)
+{
+    std::vector<QueuedCall> expired;
+    while (!this->deadlines.empty() && this->deadlines.begin()->first <= now)
+        expired.push_back(this->take(this->entries.find(this->deadlines.begin()->second)));
+    this->counters.expired += expired.size();
+    return expired;
+}
+
+void FairQueue::setWeight(WorkspaceId workspace, double weight) { this->workspaces[workspace].weight = weight; }
+
+void FairQueue::correct(WorkspaceId workspace, const TokenUse& expected, const TokenUse& actual)
+{
+    const auto found = this->workspaces.find(workspace);
+    if (found == this->workspaces.end())
+        return;
+    const auto& charge = this->init.policy.fairnessHook;
+    found->second.counter += (charge(actual) - charge(expected)) / found->second.weight;
+    this->requeue(workspace, found->second);
+}
+
+std::size_t FairQueue::size(WorkspaceId workspace) const
+{
+    const auto found = this->workspaces.find(workspace);
+    return found == this->workspaces.end() ? 0 : found->second.calls.size();
+}
+
+double FairQueue::counter(WorkspaceId workspace) const
+{
+    const auto found = this->workspaces.find(workspace);
+    return found == this->workspaces.end() ? 0 : found->second.counter;
+}
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/decisions/scheduling/policy.cpp
@@ -0,0 +1,141 @@
+#include "peridotramp/scheduling.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cmath>
+
+namespace peridotramp {
+
+namespace {
+
+// An output token occupies a batch slot for a whole decode step, a prefill token only a share of one.
+constexpr double outputCharge = 4;
+// Bounds the time by which a call can be put behind later ones, so that no call starves.
+constexpr double longestPenaltySeconds = 30;
+// Attained service at which a call takes half of the longest penalty.
+constexpr double halfPenaltySeconds = 20;
+// Time that a call with a deadline is started ahead of it.
+constexpr Duration deadlineSlack = Seconds(5);
+// Largest lead of a workspace, in virtual tokens, with the least fairness.
+constexpr double largestQuantum = 200'000;
+constexpr double smallestQuantum = 2'000;
+// A hop to another failure domain costs a few milliseconds; the rest keeps programs where their partition is.
+constexpr double foreignDomainSeconds = 0.05;
+constexpr double memoryTight = 0.9;
+constexpr Duration leaveStep = Milliseconds(500);
+constexpr Duration returnStep = Seconds(5);
+constexpr std::int64_t moveSteps = 4;
+
+double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+Duration durationOf(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+TimePoint programOrder(double weight, const QueuedCall& call)
+{
+    const auto attained = secondsOf(call.attained);
+    const auto penalty = longestPenaltySeconds * attained / (attained + halfPenaltySeconds);
+    const auto order = call.arrival + durationOf(weight * penalty);
+    if (!call.deadline)
+        return order;
+    // A queued call's deadline has not passed, so urgency advances it by no more than the slack.
+    return std::min(order, *call.deadline - deadlineSlack);
+}
+
+double placementCost(double locality, const QueuedCall& call, const EndpointView& view)
+{
+    const auto held = std::min(call.history.value, view.held.value);
+    const auto missing = static_cast<double>(call.history.value - held) / 1000;
+    const auto recompute = missing * secondsOf(view.prefillPerThousand);
+    const auto hop = view.domain == call.domain ? 0 : foreignDomainSeconds;
+    return secondsOf(view.queueWait) + (0.5 + 2 * locality) * recompute + hop;
+}
+
+EndpointId cheapest(double locality, const QueuedCall& call, std::span<const EndpointView> endpoints)
+{
+    const auto cost
+        = [&](const EndpointView& view) { return std::pair(placementCost(locality, call, view), view.endpoint); };
+    return std::ranges::min_element(endpoints, {}, cost)->endpoint;
+}
+
+Retention retain(const ToolPause& pause)
+{
+    if (pause.leaving)
+        return Retention::Move;
+    const bool isLong = pause.expected > 20 * pause.recompute;
+    return pause.memoryUsed > memoryTight && isLong ? Retention::Release : Retention::Keep;
+}
+
+double steppedShare(const DomainMove& move)
+{
+    const auto step = move.leaving ? leaveStep : returnStep;
+    const auto passed = std::clamp<std::int64_t>(1 + move.sinceChange / step, 0, moveSteps);
+    const auto share = static_cast<double>(passed) / static_cast<double>(moveSteps);
+    return move.leaving ? 1 - share : share;
+}
+
+} // namespace
+
+Policy baselinePolicy()
+{
+    Policy policy;
+    policy.name = "baseline";
+    policy.orderHook = [](const QueuedCall& call) { return call.arrival; };
+    policy.fairnessHook = [](const TokenUse&) { return 0.0; };
+    policy.placementHook = [next = std::make_shared<std::atomic<std::uint64_t>>(0)](
+                               const QueuedCall&, std::span<const EndpointView> endpoints) {
+        return endpoints[next->fetch_add(1, std::memory_order_relaxed) % endpoints.size()].endpoint;
+    };
+    policy.retentionHook = [](const ToolPause&) { return Retention::Keep; };
+    policy.admissionHook = [](std::int64_t) { return std::numeric_limits<std::int64_t>::max(); };
+    policy.rampHook = [](const DomainMove& move) { return move.leaving ? 0.0 : 1.0; };
+    return policy;
+}
+
+Policy policyFromWeights(const PolicyWeights& weights)
+{
+    const auto fairness = std::clamp(weights.fairness, 0.0, 1.0);
+    const auto locality = std::clamp(weights.locality, 0.0, 1.0);
+    const auto order = std::clamp(weights.programOrder, 0.0, 1.0);
+    Policy policy;
+    policy.name = "weights";
+    policy.orderHook = [order](const QueuedCall& call) { return programOrder(order, call); };
+    policy.fairnessHook = [](const TokenUse& use) {
+        return static_cast<double>(use.prefill.value) + outputCharge * static_cast<double>(use.output.value);
+    };
+    policy.placementHook = [locality](const QueuedCall& call, std::span<const EndpointView> endpoints) {
+        return cheapest(locality, call, endpoints);
+    };
+    policy.retentionHook = retain;
+    policy.admissionHook = [](std::int64_t window) { return window; };
+    policy.rampHook = steppedShare;
+    policy.fairnessQuantum = smallestQuantum * std::pow(largestQuantum / smallestQuantum, 1 - fairness);
+    return policy;
+}
+
+std::optional<PolicyWeights> presetWeights(std::string_view preset)
+{
+    if (preset == "kalahari")
+        return PolicyWeights { 0.9, 0.5, 0.3 };
+    if (preset == "longgrass")
+        return PolicyWeights { 0.4, 0.6, 0.8 };
+    return std::nullopt;
+}
+
+Policy kalahariPolicy()
+{
+    auto policy = policyFromWeights(*presetWeights("kalahari"));
+    policy.name = "kalahari";
+    return policy;
+}
+
+Policy longgrassPolicy()
+{
+    auto policy = policyFromWeights(*presetWeights("longgrass"));
+    policy.name = "longgrass";
+    return policy;
+}
+
+} // namespace peridotramp
--- /dev/null
+++ b/tests/endpointpool/kvledger.cpp
@@ -0,0 +1,210 @@
+#include "fixture.h"
+
+#include <algorithm>
+#include <random>
+
+using namespace peridotramp;
+
+namespace {
+
+constexpr ProgramId alive { 100 };
+constexpr ProgramId gone { 200 };
+
+// Keeps the prefix cache of an engine; it may ignore fencing tokens.
+struct FakeEngine {
+    Fencing fencing = Fencing::Obeyed;
+    EngineStart start { 1 };
+    Epoch newestEpoch { 0 };
+    std::map<ProgramId, TokenCount> cache {};
+    std::vector<ModelId> models {};
+    std::set<OrderId> ordersSeen {};
+    std::uint64_t sequence = 0;
+
+    KvEvent store(ProgramId program, TokenCount tokens)
+    {
+        this->cache[program] = tokens;
+        return { ++this->sequence, KvEventKind::Stored, program, tokens };
+    }
+
+    void obey(const Order& order)
+    {
+        const bool isOld = order.epoch < this->newestEpoch;
+        if ((isOld && this->fencing == Fencing::Obeyed) || !this->ordersSeen.insert(order.order).second)
+            return;
+        this->newestEpoch = std::max(this->newestEpoch, order.epoch);
+        if (const auto* release = std::get_if<ReleaseProgram>(&order.wanted)) {
+            if (this->cache.erase(release->program) > 0)
+                ++this->sequence;
+        } else if (const auto* serve = std::get_if<ServeModels>(&order.wanted))
+            this->models = serve->models;
+    }
+
+    KvReport report() const
+    {
+        return { engineA, this->start, this->sequence, { this->cache.begin(), this->cache.end() } };
+    }
+};
+
+KvLedger ownedLedger()
+{
+    KvLedger ledger;
+    ledger.own(engineA, Epoch { 1 });
+    ledger.own(engineB, Epoch { 1 });
+    return ledger;
+}
+
+} // namespace
+
+TEST_CASE("an ended program's prefix is released by orders that repeat until the engine no longer lists it")
+{
+    auto ledger = ownedLedger();
+    FakeEngine engine;
+    ledger.recordUse(at({}), engineA, gone, { 500 });
+    engine.store(gone, { 500 });
+    ledger.programEnded(at(Seconds(1)), gone);
+    REQUIRE(ledger.dueOrders(at(Seconds(1))).size() == 1);
+    ledger.reconcile(at(Seconds(2)), engine.report());
+    REQUIRE(ledger.pendingReleases() == 1);
+    REQUIRE(ledger.dueOrders(at(Seconds(2))).empty());
+    const auto repeated = ledger.dueOrders(at(Seconds(3)));
+    REQUIRE(repeated.size() == 1);
+    engine.obey(repeated.front());
+    ledger.reconcile(at(Seconds(4)), engine.report());
+    REQUIRE(ledger.pendingReleases() == 0);
+    REQUIRE(ledger.dueOrders(at(Seconds(60))).empty());
+}
+
+TEST_CASE("a prefix that appears after its program's end is released as well")
+{
+    auto ledger = ownedLedger();
+    FakeEngine engine;
+    ledger.programEnded(at({}), gone);
+    SECTION("late event")
+    {
+        ledger.applyEvents(at(Seconds(1)), engineA, engine.start, std::array { engine.store(gone, { 9 }) });
+    }
+    SECTION("late answer") { ledger.recordUse(at(Seconds(1)), engineA, gone, { 9 }); }
+    SECTION("late report")
+    {
+        engine.store(gone, { 9 });
+        REQUIRE(ledger.reconcile(at(Seconds(1)), engine.report()).empty());
+    }
+    REQUIRE(ledger.pendingReleases() == 1);
+}
+
+TEST_CASE("KV memory of programs whose owner died is asked about until it is answered, and then released")
+{
+    auto ledger = ownedLedger();
+    FakeEngine engine;
+    engine.store(gone, { 700 });
+    engine.store(alive, { 300 });
+    const std::vector expected { alive, gone };
+    REQUIRE(ledger.reconcile(at(Seconds(1)), engine.report()) == expected);
+    REQUIRE(ledger.reconcile(at(Seconds(2)), engine.report()) == expected);
+    ledger.programLives(alive);
+    ledger.programEnded(at(Seconds(3)), gone);
+    const auto orders = ledger.dueOrders(at(Seconds(3)));
+    REQUIRE(orders.size() == 1);
+    REQUIRE(orders.front().wanted == WantedState { ReleaseProgram { gone } });
+    engine.obey(orders.front());
+    REQUIRE(ledger.reconcile(at(Seconds(4)), engine.report()).empty());
+    REQUIRE(ledger.pendingReleases() == 0);
+    REQUIRE(ledger.held(engineA, alive).value == 300);
+}
+
+TEST_CASE("late, missing and repeated cache events end in the engine's true state")
+{
+    const std::uint32_t seed = GENERATE(range(1U, 21U));
+    INFO("seed " << seed);
+    std::mt19937 random(seed);
+    auto ledger = ownedLedger();
+    FakeEngine engine;
+    ledger.reconcile(at({}), engine.report());
+    REQUIRE_FALSE(ledger.needsReport(engineA));
+    std::vector<KvEvent> sent;
+    for (int step = 0; step < 200; ++step) {
+        const ProgramId program { random() % 8 };
+        sent.push_back(engine.store(program, { static_cast<std::int64_t>(random() % 1000) }));
+        const auto first = random() % sent.size();
+        const auto last = std::min<std::size_t>(sent.size(), first + 1 + random() % 4);
+        ledger.applyEvents(at(Seconds(step)), engineA, engine.start, std::span(sent).subspan(first, last - first));
+    }
+    REQUIRE(ledger.stats().gaps > 0);
+    REQUIRE(ledger.needsReport(engineA));
+    ledger.reconcile(at(Seconds(300)), engine.report());
+    REQUIRE_FALSE(ledger.needsReport(engineA));
+    // Events that the report covers arrive once more.
+    ledger.applyEvents(at(Seconds(301)), engineA, engine.start, sent);
+    for (const auto& [program, tokens] : engine.cache)
+        REQUIRE(ledger.held(engineA, program) == tokens);
+}
+
+TEST_CASE("a restart of the engine empties the estimate, and a report of the earlier start is ignored")
+{
+    auto ledger = ownedLedger();
+    FakeEngine engine;
+    engine.store(alive, { 300 });
+    const auto old = engine.report();
+    ledger.reconcile(at({}), old);
+    ledger.applyEvents(at(Seconds(1)), engineA, EngineStart { 2 }, {});
+    REQUIRE(ledger.holders(alive).empty());
+    ledger.reconcile(at(Seconds(2)), old);
+    REQUIRE(ledger.holders(alive).empty());
+}
+
+TEST_CASE("an import names its source and is given up when it never succeeds")
+{
+    auto ledger = ownedLedger();
+    ledger.recordUse(at({}), engineA, alive, { 300 });
+    ledger.movePrefix(at({}), engineA, engineB, alive);
+    const auto orders = ledger.dueOrders(at({}));
+    REQUIRE(orders.front().endpoint == engineB);
+    REQUIRE(orders.front().wanted == WantedState { HoldProgram { alive, engineA, { 300 } } });
+    REQUIRE(ledger.holders(alive).size() == 2);
+    ledger.tick(at(Seconds(60)));
+    REQUIRE(ledger.dueOrders(at(Seconds(90))).empty());
+    REQUIRE(ledger.holders(alive).empty());
+}
+
+TEST_CASE("an engine that ignores fencing ends in the wanted state although old orders arrive late and twice")
+{
+    const auto fencing = GENERATE(Fencing::Obeyed, Fencing::Ignored);
+    FakeEngine engine { fencing };
+    OrderBook oldOwner;
+    OrderBook newOwner;
+    oldOwner.want(engineA, Epoch { 1 }, { ModelId { 1 } });
+    const auto late = oldOwner.dueOrders(at({}));
+    oldOwner.want(engineA, Epoch { 1 }, { ModelId { 2 } });
+    const auto later = oldOwner.dueOrders(at({}));
+    newOwner.want(engineA, Epoch { 9 }, { ModelId { 3 } });
+    for (const auto& order : newOwner.dueOrders(at(Seconds(10))))
+        engine.obey(order);
+    newOwner.applyReport(engineA, at(Seconds(11)), engine.models);
+    REQUIRE(newOwner.isSettled(engineA));
+    for (const auto* orders : { &late, &later, &late })
+        engine.obey(orders->front());
+    REQUIRE((engine.models == std::vector { ModelId { 3 } }) == (fencing == Fencing::Obeyed));
+    newOwner.applyReport(engineA, at(Seconds(12)), engine.models);
+    for (const auto& order : newOwner.dueOrders(at(Seconds(13))))
+        engine.obey(order);
+    REQUIRE(engine.models == std::vector { ModelId { 3 } });
+    newOwner.applyReport(engineA, at(Seconds(14)), engine.models);
+    REQUIRE(newOwner.isSettled(engineA));
+}
+
+TEST_CASE("an order whose effect was replaced before any report is issued under a new id")
+{
+    FakeEngine engine { Fencing::Ignored };
+    OrderBook oldOwner;
+    OrderBook newOwner;
+    oldOwner.want(engineA, Epoch { 1 }, { ModelId { 1 } });
+    newOwner.want(engineA, Epoch { 9 }, { ModelId { 3 } });
+    engine.obey(newOwner.dueOrders(at({})).front());
+    engine.obey(oldOwner.dueOrders(at({})).front());
+    for (int second = 1; second <= 6; ++second) {
+        newOwner.applyReport(engineA, at(Seconds(second)), engine.models);
+        for (const auto& order : newOwner.dueOrders(at(Seconds(second))))
+            engine.obey(order);
+    }
+    REQUIRE(engine.models == std::vector { ModelId { 3 } });
+}
--- /dev/null
+++ b/tests/scheduling/placement.cpp
@@ -0,0 +1,150 @@
+#include "peridotramp/scheduling.h"
+
+#include <catch2/catch.hpp>
+
+using namespace peridotramp;
+
+namespace {
+
+constexpr DomainId home { 1 };
+constexpr DomainId abroad { 2 };
+
+EndpointView makeView(std::uint64_t id, DomainId domain, Duration wait = {}, std::int64_t held = 0)
+{
+    EndpointView view { EndpointId { id }, domain, wait };
+    view.held.value = held;
+    return view;
+}
+
+QueuedCall makeCall(std::uint64_t program = 1, std::int64_t history = 10'000)
+{
+    QueuedCall call { CallId { 1 }, ProgramId { program }, WorkspaceId { 1 }, ModelId { 1 }, home };
+    call.history.value = history;
+    return call;
+}
+
+} // namespace
+
+TEST_CASE("placement weighs the held prefix against the queue wait")
+{
+    const auto policy = longgrassPolicy();
+    const std::vector nearly { makeView(1, home, Milliseconds(500), 10'000), makeView(2, home) };
+    REQUIRE(place(policy, makeCall(), nearly) == EndpointId { 1 });
+    const std::vector crowded { makeView(1, home, Seconds(30), 10'000), makeView(2, home) };
+    REQUIRE(place(policy, makeCall(), crowded) == EndpointId { 2 });
+}
+
+TEST_CASE("placement prefers the call's failure domain unless another is much better")
+{
+    const auto policy = kalahariPolicy();
+    REQUIRE(place(policy, makeCall(), std::vector { makeView(1, abroad), makeView(2, home) }) == EndpointId { 2 });
+    const std::vector busy { makeView(1, abroad), makeView(2, home, Seconds(1)) };
+    REQUIRE(place(policy, makeCall(), busy) == EndpointId { 1 });
+}
+
+TEST_CASE("the baseline takes endpoints in turn")
+{
+    const auto policy = baselinePolicy();
+    const std::vector views { makeView(1, home), makeView(2, home) };
+    REQUIRE(place(policy, makeCall(), views) == EndpointId { 1 });
+    REQUIRE(place(policy, makeCall(), views) == EndpointId { 2 });
+    REQUIRE(place(policy, makeCall(), views) == EndpointId { 1 });
+}
+
+TEST_CASE("unusable endpoints and failure domains without a share get no call")
+{
+    auto broken = makeView(1, home);
+    broken.usable = false;
+    auto leaving = makeView(2, home);
+    leaving.share = 0;
+    const auto policy = GENERATE(as<bool> {}, false, true) ? baselinePolicy() : longgrassPolicy();
+    REQUIRE_FALSE(place(policy, makeCall(), std::vector { broken, leaving }).isValid());
+    REQUIRE(place(policy, makeCall(), std::vector { broken, leaving, makeView(3, abroad) }) == EndpointId { 3 });
+    REQUIRE_FALSE(place(policy, makeCall(), {}).isValid());
+}
+
+TEST_CASE("a ramp moves programs one by one, and none of them moves back")
+{
+    const auto policy = longgrassPolicy();
+    std::size_t before = 0;
+    std::set<std::uint64_t> moved;
+    for (const auto share : { 0.25, 0.5, 0.75, 1.0 }) {
+        auto returning = makeView(1, home);
+        returning.share = share;
+        std::size_t count = 0;
+        for (std::uint64_t program = 0; program < 1000; ++program) {
+            const bool isHome
+                = place(policy, makeCall(program), std::vector { returning, makeView(2, abroad) }) == EndpointId { 1 };
+            REQUIRE((isHome || !moved.contains(program)));
+            if (isHome)
+                moved.insert(program);
+            count += isHome ? 1 : 0;
+        }
+        REQUIRE(std::abs(static_cast<double>(count) - 1000 * share) < 60);
+        REQUIRE(count > before);
+        before = count;
+    }
+}
+
+TEST_CASE("the ramp of a leaving failure domain ends within two seconds")
+{
+    for (const auto& policy : { baselinePolicy(), kalahariPolicy(), longgrassPolicy() }) {
+        REQUIRE(policy.rampHook({ true, Seconds(2) }) == 0);
+        REQUIRE(policy.rampHook({ false, Seconds(60) }) == 1);
+    }
+}
+
+TEST_CASE("the index finds the same endpoint as a look at the whole fleet")
+{
+    const auto policy = longgrassPolicy();
+    PlacementIndex index;
+    std::vector<EndpointView> fleet;
+    for (std::uint64_t id = 0; id < 200; ++id) {
+        fleet.push_back(makeView(id, id % 2 ? home : abroad, Milliseconds(37 * (id * 7919 % 101))));
+        index.update(fleet.back());
+    }
+    for (std::uint64_t holder = 0; holder < 200; ++holder) {
+        fleet[holder].held.value = 8000;
+        const std::vector<std::pair<EndpointId, TokenCount>> holders { { EndpointId { holder }, { 8000 } } };
+        REQUIRE(index.place(policy, makeCall(), holders) == place(policy, makeCall(), fleet));
+        fleet[holder].held.value = 0;
+    }
+    for (std::uint64_t id = 0; id < 200; ++id)
+        index.remove(EndpointId { id });
+    REQUIRE(index.size() == 0);
+    REQUIRE_FALSE(index.place(policy, makeCall(), {}).isValid());
+}
+
+TEST_CASE("a prefix is kept in a short pause, released in a long one under pressure, and moved when leaving")
+{
+    const auto policy = longgrassPolicy();
+    const ToolPause shortPause { ProgramId { 1 }, { 10'000 }, Seconds(2), Seconds(1), 0.99 };
+    REQUIRE(policy.retentionHook(shortPause) == Retention::Keep);
+    ToolPause longPause = shortPause;
+    longPause.expected = Seconds(300);
+    REQUIRE(policy.retentionHook(longPause) == Retention::Release);
+    longPause.memoryUsed = 0.3;
+    REQUIRE(policy.retentionHook(longPause) == Retention::Keep);
+    longPause.leaving = true;
+    REQUIRE(policy.retentionHook(longPause) == Retention::Move);
+    REQUIRE(baselinePolicy().retentionHook(longPause) == Retention::Keep);
+}
+
+TEST_CASE("parallel sub-agents count once in the critical path of their parent")
+{
+    ServiceLedger ledger;
+    const ProgramId parent { 1 };
+    ledger.begin(parent, std::nullopt);
+    ledger.add(parent, Seconds(10));
+    for (const std::uint64_t child : { 2, 3, 4 }) {
+        ledger.begin(ProgramId { child }, parent);
+        REQUIRE(ledger.attained(ProgramId { child }) == Seconds(10));
+        ledger.add(ProgramId { child }, Seconds(child));
+    }
+    for (const std::uint64_t child : { 4, 2, 3 })
+        ledger.end(ProgramId { child });
+    REQUIRE(ledger.attained(parent) == Seconds(14));
+    ledger.end(parent);
+    REQUIRE(ledger.size() == 0);
+    REQUIRE(ledger.attained(parent) == Duration {});
+}
