Add the nodes library: frames over TCP and datagrams between our processes

Requests carry a correlation id and may get an answer of several messages; late answers are dropped by it. The client tells a request that was never written (not run) from one whose connection broke (unknown). A cut hook lets tests bring network partitions about.

--- /dev/null
+++ b/include/peridotramp/nodes.h
@@ -0,0 +1,324 @@
+#pragma once
+
+#include "peridotramp/configuration.h"
+#include "peridotramp/endpointpool.h"
+#include "peridotramp/grants.h"
+#include "peridotramp/membership.h"
+#include "peridotramp/ownership.h"
+#include "peridotramp/programs.h"
+#include "peridotramp/runtime.h"
+#include "peridotramp/scheduling.h"
+
+namespace peridotramp {
+
+/// Whether a call goes to a model engine or to a plain service.
+enum class CallTarget : std::uint8_t { Model, Service, Count };
+
+/// Identity of the caller of a request. The key itself never leaves the gateway.
+struct Caller {
+    /// Invalid on routes that are open to all.
+    KeyId key;
+    WorkspaceId workspace;
+};
+
+/// Begins a program in a partition.
+struct BeginProgramMessage {
+    Caller caller;
+    PartitionId partition;
+    ProgramId parent;
+    /// Name of the budget; empty for that of the workspace.
+    std::string budget;
+};
+
+struct ProgramBegunMessage {
+    ProgramId program;
+    Budget budget;
+};
+
+struct EndProgramMessage {
+    Caller caller;
+    ProgramId program;
+};
+
+struct ProgramQueryMessage {
+    Caller caller;
+    ProgramId program;
+};
+
+/// State of a program as its owner knows it.
+struct ProgramStateMessage {
+    ProgramId program;
+    TurnNumber turn;
+    TurnNumber confirmedTurn;
+    Digest digest;
+    Budget budget;
+    Spending spent;
+    bool ended = false;
+};
+
+/// Runs one call of a program.
+struct CallMessage {
+    Caller caller;
+    ProgramId program;
+    CallId call;
+    TurnNumber turn;
+    Digest previous;
+    std::vector<ResentTurn> unconfirmed;
+    CallTarget target = CallTarget::Model;
+    /// Name of the model or of the declared call.
+    std::string name;
+    std::string input;
+    TokenCount maxTokens;
+    /// Time until the caller's deadline. Clocks of two processes cannot be compared, so times are relative.
+    Milliseconds timeLeft { 0 };
+    bool repeated = false;
+};
+
+/// A part of the output of a running call.
+struct CallChunkMessage {
+    std::string text;
+};
+
+struct CallEndedMessage {
+    Outcome outcome = Outcome::Completed;
+    TurnNumber turn;
+    Digest digest;
+    std::string output;
+    TokenCount promptTokens;
+    TokenCount cachedTokens;
+    TokenCount completionTokens;
+    TurnNumber confirmedTurn;
+};
+
+/// An error, and where the request belongs when the node does not own the partition.
+struct ErrorMessage {
+    Error error;
+    NodeId owner;
+    Address ownerAddress;
+};
+
+/// Asks the owner of a bucket for a permit; answered when the permit is given or refused.
+struct RatePermitRequest {
+    BucketKey bucket;
+    GrantAmount amount;
+    GrantSource source;
+    Milliseconds timeLeft { 0 };
+};
+
+struct RatePermitReply {
+    Permit permit;
+};
+
+/// Tells the owner of a bucket how much of a permit was used.
+struct RateCorrection {
+    Permit permit;
+    GrantAmount used;
+};
+
+/// Asks the owner of a dispatch group for an endpoint; answered when the call may be dispatched.
+struct SlotRequest {
+    /// Model or call name that the group serves.
+    std::string name;
+    CallTarget target = CallTarget::Model;
+    TeamId team;
+    DomainId domain;
+    CallId call;
+    ProgramId program;
+    WorkspaceId workspace;
+    NodeId holder;
+    Incarnation incarnation;
+    std::int32_t attempt = 0;
+    bool retryable = false;
+    Milliseconds timeLeft { 0 };
+    Duration attained {};
+    TokenCount history;
+    TokenUse expected;
+};
+
+struct SlotReply {
+    EndpointPermit permit;
+    Address address;
+};
+
+/// Gives a slot back and reports what was observed.
+struct SlotRelease {
+    SlotRequest request;
+    EndpointPermit permit;
+    CallReport report;
+    TokenUse actual;
+    /// Tokens of the program's prefix that the engine now holds.
+    TokenCount held;
+};
+
+/// Programs whose prefixes the engines of a dispatch group must release.
+struct ProgramsEndedNotice {
+    std::vector<ProgramId> programs;
+};
+
+/// Asks the owner of a partition which of these programs live, to find orphaned prefixes.
+struct ProgramsAliveQuery {
+    std::vector<ProgramId> programs;
+};
+
+struct ProgramsAliveReply {
+    std::vector<ProgramId> alive;
+    std::vector<ProgramId> gone;
+};
+
+struct ConfigurationQuery {
+    Offset applied;
+};
+
+struct ConfigurationReply {
+    ConfigurationTransfer transfer;
+};
+
+struct TableQuery { };
+
+struct PartitionOwner {
+    PartitionId partition;
+    NodeId node;
+    Epoch epoch;
+};
+
+/// Members and partition owners as a node knows them.
+struct TableReply {
+    std::vector<MemberUpdate> members;
+    std::vector<PartitionOwner> owners;
+};
+
+/// Ends a request that the sender no longer wants answered.
+struct CancelMessage { };
+
+/// Reports that a message without result has been taken.
+struct DoneMessage { };
+
+using Message = std::variant<ErrorMessage, DoneMessage, CancelMessage, BeginProgramMessage, ProgramBegunMessage,
+    EndProgramMessage, ProgramQueryMessage, ProgramStateMessage, CallMessage, CallChunkMessage, CallEndedMessage,
+    RatePermitRequest, RatePermitReply, RateCorrection, SlotRequest, SlotReply, SlotRelease, ProgramsEndedNotice,
+    ProgramsAliveQuery, ProgramsAliveReply, LoanRequest, LoanReply, LeaseQuestion, LeaseAnswer, ConfigurationQuery,
+    ConfigurationReply, TableQuery, TableReply>;
+
+/// A message of a request or of its answer.
+struct Frame {
+    /// Chosen by the sender of the request and repeated in each message of the answer.
+    std::uint64_t correlation = 0;
+    /// Whether the answer is complete.
+    bool last = true;
+    Message message;
+};
+
+/// Encodes a frame without its length.
+std::string encodeFrame(const Frame& frame);
+/// Decodes a frame. Errors: `MalformedFrame`.
+Result<Frame> decodeFrame(std::string_view bytes);
+/// Encodes the content of a datagram.
+std::string encodeDatagram(const MembershipMessage& message);
+/// Decodes the content of a datagram. Errors: `MalformedFrame`.
+Result<MembershipMessage> decodeDatagram(std::string_view bytes);
+
+/// Tells whether traffic to an address is cut; used by tests to bring network partitions about.
+using CutHook = std::function<bool(const Address&)>;
+
+/// Way to answer one request. Copies stand for the same request. May be used from any thread.
+class RpcReply {
+public:
+    /// Sends a message of the answer. Returns false when the requester is gone.
+    bool send(Message message, bool last = true) const;
+    /// Sets a hook that is called once if the requester cancels or its connection breaks before the last message.
+    void onCancel(std::function<void()> hook) const;
+
+    struct State;
+    std::shared_ptr<State> state;
+};
+
+/// Server for requests of other processes.
+class RpcServer {
+public:
+    struct Init {
+        Address listen { "127.0.0.1", 0 };
+        std::size_t maxFrameBytes = 4 * 1024 * 1024;
+        /// Unsent bytes of one connection beyond which it is closed.
+        std::size_t maxPendingBytes = 64 * 1024 * 1024;
+    };
+    using Handler = std::function<void(Message, RpcReply)>;
+
+    /// Binds and listens. Throws `std::system_error` when the address cannot be bound.
+    RpcServer(Runtime& runtime, Init init, Handler handler);
+    RpcServer(const RpcServer&) = delete;
+    RpcServer& operator=(const RpcServer&) = delete;
+    ~RpcServer();
+
+    Address address() const;
+    /// Closes the listening socket; connections stay open.
+    void stopAccepting();
+
+    struct Impl;
+
+private:
+    std::shared_ptr<Impl> impl;
+};
+
+/// Client for requests to other processes. Keeps one connection for each address.
+class RpcClient {
+public:
+    struct Init {
+        Milliseconds connectTimeout { 1000 };
+        std::size_t maxFrameBytes = 4 * 1024 * 1024;
+        CutHook isCut {};
+    };
+    /// Called for each message of the answer, or once with an error. `last` is true in the last call.
+    ///
+    /// Errors: `ConnectionFailed` with outcome `NotRun` when the request was not written, `Unknown` otherwise;
+    /// `DeadlineExceeded` with outcome `Unknown`; and what the peer answered.
+    using AnswerHook = std::function<void(Result<Message> message, bool last)>;
+    /// A running request.
+    class Call {
+    public:
+        /// Tells the peer that the answer is no longer wanted. The hook is not called again.
+        void cancel() const;
+
+        struct State;
+        std::weak_ptr<State> state;
+    };
+
+    RpcClient(Runtime& runtime, Init init);
+    RpcClient(const RpcClient&) = delete;
+    RpcClient& operator=(const RpcClient&) = delete;
+    ~RpcClient();
+
+    /// Sends a request. The time-out counts from the last message of the answer.
+    Call call(const Address& address, Message message, Milliseconds timeout, AnswerHook hook);
+    /// Closes the connections whose address is cut.
+    void closeCutConnections();
+
+    struct Impl;
+
+private:
+    std::shared_ptr<Impl> impl;
+};
+
+/// Socket for membership datagrams.
+class DatagramSocket {
+public:
+    struct Init {
+        Address listen { "127.0.0.1", 0 };
+        CutHook isCut {};
+    };
+    using Handler = std::function<void(MembershipMessage)>;
+
+    DatagramSocket(Runtime& runtime, Init init, Handler handler);
+    DatagramSocket(const DatagramSocket&) = delete;
+    DatagramSocket& operator=(const DatagramSocket&) = delete;
+    ~DatagramSocket();
+
+    Address address() const;
+    void send(const Address& address, const MembershipMessage& message);
+
+    struct Impl;
+
+private:
+    std::shared_ptr<Impl> impl;
+};
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/nodes/datagram.cpp
@@ -0,0 +1,85 @@
+#include "connection_p.h"
+
+namespace peridotramp {
+
+struct DatagramSocket::Impl {
+    Impl(Runtime& runtime, Init init, Handler handler)
+        : init(std::move(init))
+        , handler(std::move(handler))
+        , strand(asio::make_strand(runtime.internals().context))
+        , socket(this->strand)
+    {
+    }
+
+    asio::awaitable<void> receive(std::shared_ptr<Impl> self);
+
+    Init init;
+    Handler handler;
+    asio::strand<asio::io_context::executor_type> strand;
+    asio::ip::udp::socket socket;
+    Address bound;
+    std::atomic<bool> stopping = false;
+    std::array<char, 64 * 1024> buffer {};
+};
+
+asio::awaitable<void> DatagramSocket::Impl::receive([[maybe_unused]] std::shared_ptr<Impl> self)
+{
+    asio::ip::udp::endpoint sender;
+    while (!this->stopping) {
+        auto [error, size] = co_await this->socket.async_receive_from(asio::buffer(this->buffer), sender, asTuple);
+        if (this->stopping || error == asio::error::operation_aborted)
+            co_return;
+        // An earlier datagram to a closed port reports its error here.
+        if (error)
+            continue;
+        auto message = decodeDatagram({ this->buffer.data(), size });
+        if (!message) {
+            log(LogLevel::Warning, message.error().message(), { { "peer", sender.address().to_string() } });
+            continue;
+        }
+        const auto& address = message->sender.addresses.udp;
+        if (!this->init.isCut || !this->init.isCut(address))
+            this->handler(std::move(message.value()));
+    }
+}
+
+DatagramSocket::DatagramSocket(Runtime& runtime, Init init, Handler handler)
+    : impl(std::make_shared<Impl>(runtime, std::move(init), std::move(handler)))
+{
+    auto& socket = this->impl->socket;
+    const asio::ip::udp::endpoint endpoint(
+        asio::ip::make_address(this->impl->init.listen.host), this->impl->init.listen.port);
+    socket.open(endpoint.protocol());
+    socket.bind(endpoint);
+    this->impl->bound = { this->impl->init.listen.host, socket.local_endpoint().port() };
+    asio::co_spawn(this->impl->strand, this->impl->receive(this->impl), asio::detached);
+}
+
+DatagramSocket::~DatagramSocket()
+{
+    this->impl->stopping = true;
+    asio::post(this->impl->strand, [impl = this->impl] {
+        boost::system::error_code ignored;
+        impl->socket.close(ignored);
+    });
+}
+
+Address DatagramSocket::address() const { return this->impl->bound; }
+
+void DatagramSocket::send(const Address& address, const MembershipMessage& message)
+{
+    if (this->impl->init.isCut && this->impl->init.isCut(address))
+        return;
+    asio::post(this->impl->strand, [impl = this->impl, address, bytes = encodeDatagram(message)] {
+        boost::system::error_code error;
+        const auto host = asio::ip::make_address(address.host, error);
+        if (error)
+            return;
+        impl->socket.send_to(asio::buffer(bytes), asio::ip::udp::endpoint(host, address.port), 0, error);
+        if (error)
+            log(LogLevel::Debug, "datagram not sent",
+                { { "peer", address.toString() }, { "reason", error.message() } });
+    });
+}
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/nodes/messages_p.h
@@ -0,0 +1,236 @@
+#pragma once
+
+#include "peridotramp/codec.h"
+#include "peridotramp/nodes.h"
+
+namespace peridotramp {
+
+/// Serializes an enumeration and refuses values that it does not have.
+template <typename Archive, typename Enum> void checked(Archive& archive, Enum& value)
+{
+    archive(value);
+    if (value >= Enum::Count)
+        throw cereal::Exception("enumeration value out of range");
+}
+
+template <typename Archive> void serialize(Archive& archive, Caller& caller) { archive(caller.key, caller.workspace); }
+
+template <typename Archive> void serialize(Archive& archive, Spending& spending)
+{
+    archive(spending.tokens, spending.calls);
+}
+
+template <typename Archive> void serialize(Archive& archive, Budget& budget)
+{
+    archive(budget.tokens, budget.calls, budget.wallTime, budget.depth);
+}
+
+template <typename Archive> void serialize(Archive& archive, ResentTurn& turn)
+{
+    archive(turn.turn, turn.call, turn.input, turn.output);
+}
+
+template <typename Archive> void serialize(Archive& archive, BeginProgramMessage& message)
+{
+    archive(message.caller, message.partition, message.parent, message.budget);
+}
+
+template <typename Archive> void serialize(Archive& archive, ProgramBegunMessage& message)
+{
+    archive(message.program, message.budget);
+}
+
+template <typename Archive> void serialize(Archive& archive, EndProgramMessage& message)
+{
+    archive(message.caller, message.program);
+}
+
+template <typename Archive> void serialize(Archive& archive, ProgramQueryMessage& message)
+{
+    archive(message.caller, message.program);
+}
+
+template <typename Archive> void serialize(Archive& archive, ProgramStateMessage& message)
+{
+    archive(message.program, message.turn, message.confirmedTurn, message.digest, message.budget, message.spent,
+        message.ended);
+}
+
+template <typename Archive> void serialize(Archive& archive, CallMessage& message)
+{
+    archive(message.caller, message.program, message.call, message.turn, message.previous, message.unconfirmed);
+    checked(archive, message.target);
+    archive(message.name, message.input, message.maxTokens, message.timeLeft, message.repeated);
+}
+
+template <typename Archive> void serialize(Archive& archive, CallChunkMessage& message) { archive(message.text); }
+
+template <typename Archive> void serialize(Archive& archive, CallEndedMessage& message)
+{
+    checked(archive, message.outcome);
+    archive(message.turn, message.digest, message.output, message.promptTokens, message.cachedTokens);
+    archive(message.completionTokens, message.confirmedTurn);
+}
+
+template <typename Archive> void serialize(Archive& archive, ErrorMessage& message)
+{
+    archive(message.error, message.owner, message.ownerAddress);
+    if (message.error.kind >= ErrorKind::Count || message.error.outcome >= Outcome::Count)
+        throw cereal::Exception("error value out of range");
+}
+
+template <typename Archive> void serialize(Archive& archive, BucketKey& key)
+{
+    archive(key.workspace, key.domain);
+    checked(archive, key.kind);
+}
+
+template <typename Archive> void serialize(Archive& archive, Permit& permit)
+{
+    archive(permit.bucket, permit.id, permit.epoch, permit.amount);
+}
+
+template <typename Archive> void serialize(Archive& archive, RatePermitRequest& message)
+{
+    archive(message.bucket, message.amount, message.source, message.timeLeft);
+}
+
+template <typename Archive> void serialize(Archive& archive, RatePermitReply& message) { archive(message.permit); }
+
+template <typename Archive> void serialize(Archive& archive, RateCorrection& message)
+{
+    archive(message.permit, message.used);
+}
+
+template <typename Archive> void serialize(Archive& archive, TokenUse& use) { archive(use.prefill, use.output); }
+
+template <typename Archive> void serialize(Archive& archive, SlotRequest& message)
+{
+    archive(message.name);
+    checked(archive, message.target);
+    archive(message.team, message.domain, message.call, message.program, message.workspace, message.holder);
+    archive(message.incarnation, message.attempt, message.retryable, message.timeLeft, message.attained);
+    archive(message.history, message.expected);
+}
+
+// The time of the grant stays out: it is a time of the owner's clock and means nothing to the holder.
+template <typename Archive> void serialize(Archive& archive, EndpointPermit& permit)
+{
+    archive(permit.permit, permit.endpoint, permit.epoch);
+}
+
+template <typename Archive> void serialize(Archive& archive, SlotReply& message)
+{
+    archive(message.permit, message.address);
+}
+
+template <typename Archive> void serialize(Archive& archive, CallReport& report)
+{
+    checked(archive, report.result);
+    archive(report.firstToken, report.uncachedTokens);
+}
+
+template <typename Archive> void serialize(Archive& archive, SlotRelease& message)
+{
+    archive(message.request, message.permit, message.report, message.actual, message.held);
+}
+
+template <typename Archive> void serialize(Archive& archive, ProgramsEndedNotice& message)
+{
+    archive(message.programs);
+}
+
+template <typename Archive> void serialize(Archive& archive, ProgramsAliveQuery& message) { archive(message.programs); }
+
+template <typename Archive> void serialize(Archive& archive, ProgramsAliveReply& message)
+{
+    archive(message.alive, message.gone);
+}
+
+template <typename Archive> void serialize(Archive& archive, LoanRequest& message)
+{
+    archive(message.bucket, message.borrower, message.loan, message.term, message.rate, message.burst);
+}
+
+template <typename Archive> void serialize(Archive& archive, LoanReply& message)
+{
+    archive(message.bucket, message.lender, message.loan, message.term, message.rate, message.burst, message.level);
+    archive(message.spareRate, message.spareBurst);
+}
+
+// The time of asking stays with the sender.
+template <typename Archive> void serialize(Archive& archive, LeaseQuestion& question)
+{
+    checked(archive, question.kind);
+    archive(question.partition, question.voter, question.epoch);
+}
+
+template <typename Archive> void serialize(Archive& archive, LeaseAnswer& answer)
+{
+    archive(answer.granted, answer.retryAfter);
+}
+
+template <typename Archive> void serialize(Archive& archive, MemberAddresses& addresses)
+{
+    archive(addresses.tcp, addresses.udp, addresses.admin);
+}
+
+template <typename Archive> void serialize(Archive& archive, MemberUpdate& update)
+{
+    archive(update.node, update.incarnation, update.domain, update.addresses);
+    checked(archive, update.state);
+}
+
+template <typename Archive> void serialize(Archive& archive, MembershipMessage& message)
+{
+    checked(archive, message.kind);
+    archive(message.sequence, message.target, message.targetAddress, message.sender, message.configurationVersion);
+    archive(message.updates);
+}
+
+template <typename Archive> void serialize(Archive& archive, ConfigurationRecord& record)
+{
+    archive(record.offset, record.payload);
+}
+
+template <typename Archive> void serialize(Archive& archive, ConfigurationRead& read)
+{
+    archive(read.from, read.first, read.next, read.records, read.age);
+}
+
+template <typename Archive> void serialize(Archive& archive, SnapshotDocument& document)
+{
+    archive(document.team, document.version, document.changeId, document.text, document.recordAge, document.refused);
+}
+
+template <typename Archive> void serialize(Archive& archive, ConfigurationSnapshot& snapshot)
+{
+    archive(snapshot.next, snapshot.documents, snapshot.age);
+}
+
+template <typename Archive> void serialize(Archive& archive, ConfigurationQuery& message) { archive(message.applied); }
+
+template <typename Archive> void serialize(Archive& archive, ConfigurationReply& message) { archive(message.transfer); }
+
+template <typename Archive> void serialize(Archive&, TableQuery&) { }
+
+template <typename Archive> void serialize(Archive& archive, PartitionOwner& owner)
+{
+    archive(owner.partition, owner.node, owner.epoch);
+}
+
+template <typename Archive> void serialize(Archive& archive, TableReply& message)
+{
+    archive(message.members, message.owners);
+}
+
+template <typename Archive> void serialize(Archive&, CancelMessage&) { }
+
+template <typename Archive> void serialize(Archive&, DoneMessage&) { }
+
+template <typename Archive> void serialize(Archive& archive, Frame& frame)
+{
+    archive(frame.correlation, frame.last, frame.message);
+}
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/nodes/rpcserver.cpp
@@ -0,0 +1,176 @@
+#include "connection_p.h"
+
+namespace peridotramp {
+
+using Strand = asio::strand<asio::io_context::executor_type>;
+
+struct RpcReply::State {
+    std::shared_ptr<FrameConnection> connection;
+    std::uint64_t correlation = 0;
+    std::mutex mutex {};
+    bool ended = false;
+    bool cancelled = false;
+    std::function<void()> cancelHook {};
+
+    void cancel();
+};
+
+void RpcReply::State::cancel()
+{
+    std::function<void()> hook;
+    {
+        const std::scoped_lock lock(this->mutex);
+        if (this->ended || this->cancelled)
+            return;
+        this->cancelled = true;
+        hook = std::exchange(this->cancelHook, nullptr);
+    }
+    if (hook)
+        hook();
+}
+
+bool RpcReply::send(Message message, bool last) const
+{
+    {
+        const std::scoped_lock lock(this->state->mutex);
+        if (this->state->ended || this->state->cancelled)
+            return false;
+        this->state->ended = last;
+    }
+    return this->state->connection->send(encodeFrame({ this->state->correlation, last, std::move(message) }));
+}
+
+void RpcReply::onCancel(std::function<void()> hook) const
+{
+    {
+        const std::scoped_lock lock(this->state->mutex);
+        if (!this->state->cancelled) {
+            this->state->cancelHook = std::move(hook);
+            return;
+        }
+    }
+    hook();
+}
+
+struct RpcServer::Impl {
+    Impl(Runtime& runtime, Init init, Handler handler)
+        : init(std::move(init))
+        , handler(std::move(handler))
+        , context(runtime.internals().context)
+        , acceptor(asio::make_strand(this->context))
+    {
+    }
+
+    Init init;
+    Handler handler;
+    asio::io_context& context;
+    asio::basic_socket_acceptor<asio::ip::tcp, Strand> acceptor;
+    Address bound;
+    std::atomic<bool> stopping = false;
+};
+
+namespace {
+
+// Requests of one connection that have not been answered completely. Touched on the connection's strand only.
+struct OpenRequests {
+    std::map<std::uint64_t, std::weak_ptr<RpcReply::State>> states;
+    // Size at which answered requests are dropped; it doubles, so that a request costs constant time.
+    std::size_t forgetAt = 64;
+
+    void forgetAnswered();
+};
+
+void OpenRequests::forgetAnswered()
+{
+    if (this->states.size() < this->forgetAt)
+        return;
+    std::erase_if(this->states, [](const auto& entry) { return entry.second.expired(); });
+    this->forgetAt = std::max<std::size_t>(64, 2 * this->states.size());
+}
+
+void handleFrame(
+    RpcServer::Impl& server, const std::shared_ptr<FrameConnection>& connection, OpenRequests& open, Frame frame)
+{
+    const auto found = open.states.find(frame.correlation);
+    if (std::holds_alternative<CancelMessage>(frame.message)) {
+        const auto state = found == open.states.end() ? nullptr : found->second.lock();
+        if (state)
+            state->cancel();
+        return;
+    }
+    open.forgetAnswered();
+    auto state = std::make_shared<RpcReply::State>();
+    state->connection = connection;
+    state->correlation = frame.correlation;
+    open.states[frame.correlation] = state;
+    server.handler(std::move(frame.message), RpcReply { state });
+}
+
+void startConnection(const std::shared_ptr<RpcServer::Impl>& server, asio::ip::tcp::socket socket)
+{
+    auto connection = std::make_shared<FrameConnection>(
+        std::move(socket), FrameConnection::Limits { server->init.maxFrameBytes, server->init.maxPendingBytes });
+    auto open = std::make_shared<OpenRequests>();
+    const std::weak_ptr<FrameConnection> weak = connection;
+    FrameConnection::Hooks hooks;
+    hooks.onFrame = [server, weak, open](Frame frame) {
+        if (const auto owner = weak.lock())
+            handleFrame(*server, owner, *open, std::move(frame));
+    };
+    hooks.onClosed = [open] {
+        for (const auto& [correlation, weakState] : open->states) {
+            if (const auto state = weakState.lock())
+                state->cancel();
+        }
+    };
+    connection->start(std::move(hooks));
+}
+
+asio::awaitable<void> acceptConnections(std::shared_ptr<RpcServer::Impl> server)
+{
+    while (!server->stopping) {
+        auto [error, socket] = co_await server->acceptor.async_accept(asio::make_strand(server->context), asTuple);
+        if (error) {
+            if (server->stopping)
+                co_return;
+            // Running out of descriptors is transient; the pause keeps the loop from spinning.
+            asio::steady_timer pause(server->acceptor.get_executor(), Milliseconds(20));
+            co_await pause.async_wait(asTuple);
+            continue;
+        }
+        boost::system::error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        startConnection(server, asio::ip::tcp::socket(std::move(socket)));
+    }
+}
+
+} // namespace
+
+RpcServer::RpcServer(Runtime& runtime, Init init, Handler handler)
+    : impl(std::make_shared<Impl>(runtime, std::move(init), std::move(handler)))
+{
+    auto& acceptor = this->impl->acceptor;
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(this->impl->init.listen.host), this->impl->init.listen.port);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+    this->impl->bound = { this->impl->init.listen.host, acceptor.local_endpoint().port() };
+    asio::co_spawn(acceptor.get_executor(), acceptConnections(this->impl), asio::detached);
+}
+
+RpcServer::~RpcServer() { this->stopAccepting(); }
+
+Address RpcServer::address() const { return this->impl->bound; }
+
+void RpcServer::stopAccepting()
+{
+    this->impl->stopping = true;
+    asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
+        boost::system::error_code ignored;
+        impl->acceptor.close(ignored);
+    });
+}
+
+} // namespace peridotramp
--- /dev/null
+++ b/tests/nodes/rpc.cpp
@@ -0,0 +1,163 @@
+#include "peridotramp/nodes.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <random>
+
+using namespace peridotramp;
+
+namespace {
+
+struct Answers {
+    std::mutex mutex;
+    std::vector<Message> messages;
+    std::promise<Error> ended;
+
+    RpcClient::AnswerHook hook()
+    {
+        return [this](Result<Message> message, bool last) {
+            if (message) {
+                const std::scoped_lock lock(this->mutex);
+                this->messages.push_back(std::move(message.value()));
+            }
+            if (last)
+                this->ended.set_value(message ? Error {} : message.error());
+        };
+    }
+};
+
+struct Loop {
+    Runtime runtime;
+
+    Loop() { this->runtime.start(); }
+};
+
+} // namespace
+
+TEST_CASE("a request gets all parts of its answer in order")
+{
+    Loop loop;
+    RpcServer server(loop.runtime, {}, [](Message message, RpcReply reply) {
+        const auto text = std::get<CallChunkMessage>(message).text;
+        for (int part = 0; part < 50; ++part)
+            reply.send(CallChunkMessage { text + std::to_string(part) }, false);
+        reply.send(DoneMessage {});
+    });
+    RpcClient client(loop.runtime, {});
+    Answers answers;
+    client.call(server.address(), CallChunkMessage { "x" }, Seconds(10), answers.hook());
+    REQUIRE(answers.ended.get_future().get().kind == ErrorKind::None);
+    REQUIRE(answers.messages.size() == 51);
+    for (int part = 0; part < 50; ++part)
+        REQUIRE(std::get<CallChunkMessage>(answers.messages[static_cast<std::size_t>(part)]).text
+            == "x" + std::to_string(part));
+}
+
+TEST_CASE("answers that come in another order than the requests reach the right requests")
+{
+    Loop loop;
+    std::mutex mutex;
+    std::vector<std::pair<std::string, RpcReply>> held;
+    RpcServer server(loop.runtime, {}, [&](Message message, RpcReply reply) {
+        const std::scoped_lock lock(mutex);
+        held.emplace_back(std::get<CallChunkMessage>(message).text, reply);
+        if (held.size() < 20)
+            return;
+        for (auto entry = held.rbegin(); entry != held.rend(); ++entry)
+            entry->second.send(CallChunkMessage { entry->first });
+    });
+    RpcClient client(loop.runtime, {});
+    std::vector<Answers> answers(20);
+    for (std::size_t index = 0; index < answers.size(); ++index)
+        client.call(server.address(), CallChunkMessage { std::to_string(index) }, Seconds(10), answers[index].hook());
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        answers[index].ended.get_future().wait();
+        REQUIRE(std::get<CallChunkMessage>(answers[index].messages.front()).text == std::to_string(index));
+    }
+}
+
+TEST_CASE("a refused connection proves that the request was not run, and a broken one leaves its outcome unknown")
+{
+    Loop loop;
+    RpcClient client(loop.runtime, {});
+    Answers refused;
+    // Port 1 of the loopback address is reserved and has no listener.
+    client.call({ "127.0.0.1", 1 }, DoneMessage {}, Seconds(10), refused.hook());
+    REQUIRE(refused.ended.get_future().get().outcome == Outcome::NotRun);
+
+    std::promise<RpcReply> taken;
+    RpcServer server(loop.runtime, {}, [&](Message, RpcReply reply) { taken.set_value(reply); });
+    bool cut = false;
+    RpcClient::Init init;
+    init.isCut = [&](const Address&) { return cut; };
+    RpcClient cutClient(loop.runtime, init);
+    Answers broken;
+    cutClient.call(server.address(), DoneMessage {}, Seconds(10), broken.hook());
+    const auto reply = taken.get_future().get();
+    std::promise<void> cancelled;
+    reply.onCancel([&] { cancelled.set_value(); });
+    cut = true;
+    cutClient.closeCutConnections();
+    REQUIRE(broken.ended.get_future().get().outcome == Outcome::Unknown);
+    cancelled.get_future().wait();
+    REQUIRE_FALSE(reply.send(DoneMessage {}));
+}
+
+TEST_CASE("a request that is not answered in time has an unknown outcome")
+{
+    RuntimeClock::pause();
+    {
+        Loop loop;
+        std::promise<RpcReply> taken;
+        RpcServer server(loop.runtime, {}, [&](Message, RpcReply reply) { taken.set_value(reply); });
+        RpcClient client(loop.runtime, {});
+        Answers answers;
+        client.call(server.address(), DoneMessage {}, Seconds(10), answers.hook());
+        const auto reply = taken.get_future().get();
+        RuntimeClock::advance(Seconds(11));
+        const auto error = answers.ended.get_future().get();
+        REQUIRE(error.kind == ErrorKind::DeadlineExceeded);
+        REQUIRE(error.outcome == Outcome::Unknown);
+    }
+    RuntimeClock::resume();
+}
+
+TEST_CASE("cancelling a request tells the server")
+{
+    Loop loop;
+    std::promise<RpcReply> taken;
+    std::promise<void> cancelled;
+    RpcServer server(loop.runtime, {}, [&](Message, RpcReply reply) {
+        reply.onCancel([&] { cancelled.set_value(); });
+        taken.set_value(reply);
+    });
+    RpcClient client(loop.runtime, {});
+    Answers answers;
+    const auto call = client.call(server.address(), DoneMessage {}, Seconds(10), answers.hook());
+    const auto reply = taken.get_future().get();
+    call.cancel();
+    cancelled.get_future().wait();
+    REQUIRE(answers.messages.empty());
+}
+
+TEST_CASE("damaged frames give a typed error and no crash")
+{
+    CallMessage call;
+    call.name = "model";
+    call.unconfirmed.push_back({ TurnNumber { 1 }, CallId { 2 }, "in", "out" });
+    const auto good = encodeFrame({ 7, true, call });
+    REQUIRE(decodeFrame(good));
+    for (std::size_t length = 0; length < good.size(); ++length)
+        REQUIRE_FALSE(decodeFrame(std::string_view(good).substr(0, length)));
+    constexpr unsigned seed = 20261204;
+    INFO("seed " << seed);
+    std::mt19937 random(seed);
+    for (int round = 0; round < 20000; ++round) {
+        auto bytes = good;
+        for (int change = 0; change < 3; ++change)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        const auto frame = decodeFrame(bytes);
+        if (!frame)
+            REQUIRE(frame.error().kind == ErrorKind::MalformedFrame);
+    }
+}
