--- /dev/null
+++ b/standins/engine/engine.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "../standin.h"
+
+#include <deque>
+#include <list>
+
+namespace standin {
+
+/// Speeds and limits of an engine. Times are those of an engine that runs one request.
+struct EngineSettings {
+    std::int64_t prefillTokensPerSecond = 20'000;
+    std::int64_t tokenMicroseconds = 10'000;
+    /// Part by which each further running request lengthens the time of a token and of the prefill.
+    double batchSlope = 0.05;
+    std::int64_t maxAnswerTokens = 4096;
+    /// Tokens that the prefix cache holds in all.
+    std::int64_t kvTokens = 200'000;
+    /// Tokens that the prefix cache holds of one program.
+    std::int64_t kvTokensPerProgram = 100'000;
+    std::int64_t coldMs = 0;
+    /// Requests that a cold engine bears at once.
+    std::int64_t coldBears = 1;
+    double coldSlowness = 3;
+    std::int64_t loadLagMs = 0;
+    std::int64_t eventLagMs = 0;
+    bool fencingObeyed = true;
+    std::vector<std::string> models {};
+};
+
+struct Completion {
+    std::string program;
+    std::string turn;
+    std::string model;
+    std::int64_t promptTokens = 0;
+    std::int64_t maxTokens = 0;
+    std::string prompt;
+};
+
+/// Decides whether a request runs and at which cost. Not thread safe; holds no sockets.
+class EngineState {
+public:
+    struct Admission {
+        bool accepted = false;
+        std::uint64_t ticket = 0;
+        std::int64_t cachedTokens = 0;
+        Duration prefill {};
+    };
+    struct OrderAnswer {
+        unsigned status = 200;
+        json::object body {};
+    };
+
+    void start(const EngineSettings& engineSettings, TimePoint now);
+    Admission admit(const Completion& completion, TimePoint now);
+    /// Returns the time that the next token takes at the present load.
+    Duration tokenTime(TimePoint now) const;
+    /// Ends a request, after which the cache holds `heldTokens` of its program.
+    void end(std::uint64_t ticket, std::int64_t heldTokens, bool completed, TimePoint now);
+    OrderAnswer order(const json::object& order, TimePoint now);
+    json::object load(TimePoint now) const;
+    json::object events(std::uint64_t from, TimePoint now) const;
+    json::object kv() const;
+    void setFaults(const json::object& object, TimePoint now);
+    void countCall(const std::string& callId) { ++this->calls[callId]; }
+    void report(json::object& object, TimePoint now) const;
+
+private:
+    struct Held {
+        std::int64_t tokens = 0;
+        std::uint64_t used = 0;
+    };
+    struct Running {
+        std::string program;
+        // Set by a release order that arrives while the request runs.
+        bool released = false;
+    };
+    struct Event {
+        std::uint64_t sequence;
+        std::string kind;
+        std::string program;
+        std::int64_t tokens;
+        TimePoint at;
+    };
+    struct LoadSample {
+        TimePoint at;
+        std::size_t running;
+    };
+
+    bool isCold(TimePoint now) const { return now < this->coldUntil; }
+    double slowness(TimePoint now) const;
+    void hold(const std::string& program, std::int64_t tokens, TimePoint now);
+    void release(const std::string& program, TimePoint now);
+    void evict(TimePoint now);
+    void becomeCold(TimePoint now);
+    void addEvent(const std::string& kind, const std::string& program, std::int64_t tokens, TimePoint now);
+    void sampleLoad(TimePoint now);
+    OrderAnswer carryOut(const json::object& order, const std::string& kind, TimePoint now);
+
+    EngineSettings settings {};
+    std::map<std::string, Held> cache {};
+    std::map<std::uint64_t, Running> running {};
+    std::deque<Event> history {};
+    std::deque<LoadSample> samples {};
+    std::map<std::string, std::int64_t> calls {};
+    std::map<std::string, std::int64_t> orders {};
+    std::set<std::string> models {};
+    std::string role = "serving";
+    TimePoint coldUntil {};
+    std::uint64_t startNumber = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t lastTicket = 0;
+    std::uint64_t useCounter = 0;
+    std::int64_t newestFencingToken = -1;
+    std::int64_t eventsToDrop = 0;
+    std::int64_t overloads = 0;
+    std::int64_t completed = 0;
+    std::int64_t cancelled = 0;
+    std::int64_t prefilled = 0;
+    std::int64_t served = 0;
+    std::int64_t staleOrders = 0;
+};
+
+/// Returns token `index` of the answer to a completion; the same on every engine.
+std::string tokenOf(const Completion& completion, std::int64_t index);
+
+} // namespace standin
--- /dev/null
+++ b/standins/engine/main.cpp
@@ -0,0 +1,179 @@
+#include "engine.h"
+
+using namespace standin;
+
+namespace {
+
+/// One completion that is being answered. Its steps run one after another.
+struct Stream {
+    Completion completion {};
+    EngineState::Admission admission {};
+    std::int64_t sent = 0;
+    HttpExchange exchange {};
+    std::atomic<bool> gone = false;
+};
+
+class Engine {
+public:
+    explicit Engine(StandIn& process)
+        : process(process)
+    {
+        auto& app = process.options();
+        app.add_option("--prefill-tokens-per-second", this->settings.prefillTokensPerSecond, "Prefill speed");
+        app.add_option("--token-us", this->settings.tokenMicroseconds, "Time of one token in microseconds");
+        app.add_option("--batch-slope", this->settings.batchSlope, "Slowdown for each further running request");
+        app.add_option("--max-answer-tokens", this->settings.maxAnswerTokens, "Longest answer");
+        app.add_option("--kv-tokens", this->settings.kvTokens, "Size of the prefix cache");
+        app.add_option("--kv-tokens-per-program", this->settings.kvTokensPerProgram, "Longest prefix that is kept");
+        app.add_option("--cold-ms", this->settings.coldMs, "Length of a cold start");
+        app.add_option("--cold-bears", this->settings.coldBears, "Requests that a cold engine bears");
+        app.add_option("--cold-slowness", this->settings.coldSlowness, "Slowdown while cold");
+        app.add_option("--load-lag-ms", this->settings.loadLagMs, "Lag of the load report");
+        app.add_option("--event-lag-ms", this->settings.eventLagMs, "Lag of cache events");
+        app.add_option("--models", this->settings.models, "Models that are loaded at the start")->delimiter(',');
+        app.add_option("--fencing", this->fencing, "obeyed or ignored")->check(CLI::IsMember({ "obeyed", "ignored" }));
+    }
+
+    void serve(const HttpRequest& request, const HttpExchange& exchange)
+    {
+        const auto path = request.path();
+        const auto now = RuntimeClock::now();
+        if (request.method == "POST" && path == "/v1/completions")
+            return this->complete(request, exchange);
+        if (request.method == "POST" && path == "/orders")
+            return this->takeOrder(request, exchange);
+        if (request.method != "GET")
+            return exchange.respond(errorAnswer(404, "no such route"));
+        if (path == "/load")
+            return exchange.respond(this->ask([&](EngineState& state) { return state.load(now); }));
+        if (path == "/kv")
+            return exchange.respond(this->ask([&](EngineState& state) { return state.kv(); }));
+        if (path != "/events")
+            return exchange.respond(errorAnswer(404, "no such route"));
+        const auto text = request.query("from").value_or("1");
+        std::uint64_t from = 1;
+        std::from_chars(text.data(), text.data() + text.size(), from);
+        exchange.respond(this->ask([&](EngineState& state) { return state.events(from, now); }));
+    }
+
+    void reportState(json::object& object)
+    {
+        this->state.with(0, [&](EngineState& current) { current.report(object, RuntimeClock::now()); });
+    }
+
+    void setFaults(const json::object& object)
+    {
+        this->state.with(0, [&](EngineState& current) { current.setFaults(object, RuntimeClock::now()); });
+    }
+
+    void start()
+    {
+        this->settings.fencingObeyed = this->fencing == "obeyed";
+        this->state.with(0, [&](EngineState& current) { current.start(this->settings, RuntimeClock::now()); });
+    }
+
+private:
+    template <typename Function> HttpResponse ask(Function&& function)
+    {
+        return jsonAnswer(200, this->state.with(0, std::forward<Function>(function)));
+    }
+
+    void takeOrder(const HttpRequest& request, const HttpExchange& exchange)
+    {
+        const auto object = parseObject(request.body);
+        if (!object)
+            return exchange.respond(errorAnswer(400, "send the order as a JSON object"));
+        const auto answer
+            = this->state.with(0, [&](EngineState& current) { return current.order(*object, RuntimeClock::now()); });
+        exchange.respond(jsonAnswer(answer.status, answer.body));
+    }
+
+    static std::optional<Completion> completionOf(const std::string& body)
+    {
+        const auto object = parseObject(body);
+        if (!object || !object->contains("program") || !object->contains("prompt"))
+            return std::nullopt;
+        Completion completion { textOf(*object, "program", ""), textOf(*object, "turn", ""),
+            textOf(*object, "model", ""), integerOf(*object, "prompt_tokens", 0), integerOf(*object, "max_tokens", 16),
+            textOf(*object, "prompt", "") };
+        if (completion.promptTokens < 0 || completion.maxTokens < 1)
+            return std::nullopt;
+        return completion;
+    }
+
+    void complete(const HttpRequest& request, const HttpExchange& exchange)
+    {
+        auto completion = completionOf(request.body);
+        if (!completion)
+            return exchange.respond(errorAnswer(400, "send program, turn, prompt, prompt_tokens and max_tokens"));
+        completion->maxTokens = std::min(completion->maxTokens, this->settings.maxAnswerTokens);
+        auto stream = std::make_shared<Stream>();
+        stream->completion = std::move(*completion);
+        stream->exchange = exchange;
+        const std::string callId(request.header("Call-Id").value_or(""));
+        stream->admission = this->state.with(0, [&](EngineState& current) {
+            current.countCall(callId);
+            return current.admit(stream->completion, RuntimeClock::now());
+        });
+        if (!stream->admission.accepted)
+            return exchange.respond(errorAnswer(503, "overloaded during a cold start"));
+        exchange.onDisconnect([stream] { stream->gone = true; });
+        exchange.startStream({ 200, { { "Content-Type", "text/event-stream" } }, {} });
+        this->process.loop().after(stream->admission.prefill, [this, stream] { this->decode(stream); });
+    }
+
+    // Sends one token and plans the next one at the speed of the present batch.
+    void decode(const std::shared_ptr<Stream>& stream)
+    {
+        const auto& completion = stream->completion;
+        if (stream->gone)
+            return this->end(*stream, false);
+        if (stream->sent == completion.maxTokens)
+            return this->finish(*stream);
+        const auto token = tokenOf(completion, stream->sent++);
+        if (!stream->exchange.write(fmt::format("data: {}\n\n", json::serialize(json::object { { "token", token } }))))
+            return this->end(*stream, false);
+        const auto time
+            = this->state.with(0, [](const EngineState& current) { return current.tokenTime(RuntimeClock::now()); });
+        this->process.loop().after(time, [this, stream] { this->decode(stream); });
+    }
+
+    void finish(const Stream& stream)
+    {
+        const json::object usage { { "prompt_tokens", stream.completion.promptTokens },
+            { "cached_tokens", stream.admission.cachedTokens }, { "completion_tokens", stream.sent } };
+        const json::object last { { "usage", usage }, { "done", true } };
+        // The cache holds the program before the caller can send its next turn.
+        this->end(stream, true);
+        stream.exchange.write(fmt::format("data: {}\n\n", json::serialize(last)));
+        stream.exchange.finish();
+    }
+
+    void end(const Stream& stream, bool completed)
+    {
+        const auto held = stream.completion.promptTokens + stream.sent;
+        this->state.with(0,
+            [&](EngineState& current) { current.end(stream.admission.ticket, held, completed, RuntimeClock::now()); });
+    }
+
+    StandIn& process;
+    EngineSettings settings {};
+    std::string fencing = "obeyed";
+    Sharded<EngineState, 1> state {};
+};
+
+} // namespace
+
+/// Model engine. Faults beside the common ones: `cold` (a new cold start of `cold_ms`, with an empty cache),
+/// `cold_bears`, `token_us` and `drop_events` (number of cache events that are left out).
+int main(int argc, char** argv)
+{
+    StandIn process("engine", "Stand-in for a model engine");
+    Engine engine(process);
+    Hooks hooks;
+    hooks.start = [&] { engine.start(); };
+    hooks.serve = [&](const HttpRequest& request, const HttpExchange& exchange) { engine.serve(request, exchange); };
+    hooks.reportState = [&](json::object& object) { engine.reportState(object); };
+    hooks.setFaults = [&](const json::object& object) { engine.setFaults(object); };
+    return process.run(argc, argv, std::move(hooks));
+}
--- /dev/null
+++ b/standins/instances/main.cpp
@@ -0,0 +1,98 @@
+#include "../standin.h"
+
+#include <deque>
+
+using namespace standin;
+
+namespace {
+
+using Instances = std::map<std::string, json::object>;
+
+/// The list as it was from `since` on.
+struct Version {
+    TimePoint since;
+    Instances instances;
+};
+
+struct Versions {
+    std::deque<Version> all {};
+};
+
+class InstanceList {
+public:
+    explicit InstanceList(StandIn& process)
+    {
+        process.options().add_option("--lag-ms", this->lagMs, "Time after which a change is shown");
+    }
+
+    void serve(const HttpRequest& request, const HttpExchange& exchange)
+    {
+        if (request.path() != "/instances")
+            return exchange.respond(errorAnswer(404, "use /instances"));
+        if (request.method == "GET")
+            return exchange.respond(this->shown());
+        if (request.method != "POST")
+            return exchange.respond(errorAnswer(405, "use GET or POST"));
+        const auto object = parseObject(request.body);
+        if (!object || textOf(*object, "name", "").empty())
+            return exchange.respond(errorAnswer(400, "send name and state (live, leaving or gone)"));
+        const auto state = textOf(*object, "state", "live");
+        if (!std::set<std::string> { "live", "leaving", "gone" }.contains(state))
+            return exchange.respond(errorAnswer(400, "state must be live, leaving or gone"));
+        this->change(*object, state);
+        exchange.respond(jsonAnswer(200, { { "accepted", true } }));
+    }
+
+private:
+    void change(const json::object& object, const std::string& state)
+    {
+        this->versions.with(0, [&](Versions& versions) {
+            const auto now = RuntimeClock::now();
+            auto instances = versions.all.empty() ? Instances {} : versions.all.back().instances;
+            const auto name = textOf(object, "name", "");
+            if (state == "gone") {
+                instances.erase(name);
+            } else {
+                auto& instance = instances[name];
+                for (const auto& entry : object)
+                    instance[entry.key()] = entry.value();
+                instance["state"] = state;
+            }
+            versions.all.push_back({ now, std::move(instances) });
+            // Only the newest version that is old enough to be shown, and those after it, can still be asked for.
+            while (versions.all.size() > 1 && now - versions.all[1].since >= Milliseconds(this->lagMs))
+                versions.all.pop_front();
+        });
+    }
+
+    HttpResponse shown()
+    {
+        json::array list;
+        this->versions.with(0, [&](const Versions& versions) {
+            const auto now = RuntimeClock::now();
+            const auto version = std::find_if(versions.all.rbegin(), versions.all.rend(),
+                [&](const Version& each) { return now - each.since >= Milliseconds(this->lagMs); });
+            if (version == versions.all.rend())
+                return;
+            for (const auto& [name, instance] : version->instances)
+                list.push_back(instance);
+        });
+        return jsonAnswer(200, { { "instances", std::move(list) } });
+    }
+
+    std::int64_t lagMs = 0;
+    Sharded<Versions, 1> versions {};
+};
+
+} // namespace
+
+/// The platform's instance list. `POST /instances` with `name`, `state` (`live`, `leaving` or `gone`) and any further
+/// keys changes it; `GET /instances` shows it with a lag.
+int main(int argc, char** argv)
+{
+    StandIn process("instances", "Stand-in for the platform's instance list");
+    InstanceList list(process);
+    Hooks hooks;
+    hooks.serve = [&](const HttpRequest& request, const HttpExchange& exchange) { list.serve(request, exchange); };
+    return process.run(argc, argv, std::move(hooks));
+}
--- /dev/null
+++ b/standins/log/main.cpp
@@ -0,0 +1,218 @@
+#include "../standin.h"
+
+#include <deque>
+
+using namespace standin;
+
+namespace {
+
+struct Record {
+    std::string data;
+    TimePoint appended;
+};
+
+/// Records of one stream; the first one has the offset `first`.
+struct Stream {
+    std::deque<Record> records {};
+    std::uint64_t first = 0;
+
+    std::uint64_t next() const { return this->first + this->records.size(); }
+};
+
+using Streams = std::map<std::string, Stream>;
+
+struct Settings {
+    std::size_t retainRecords = 0;
+    std::int64_t retainMs = 0;
+    double appendsPerSecond = 0;
+};
+
+struct Faults {
+    std::int64_t loseAnswers = 0;
+    Milliseconds appendDelay { 0 };
+    double appendsPerSecond = 0;
+    double tokens = 0;
+    TimePoint refilled {};
+    std::int64_t appends = 0;
+    std::int64_t refused = 0;
+    std::int64_t answersLost = 0;
+};
+
+/// What becomes of one append.
+enum class Admission : std::uint8_t { Accepted, AnswerLost, Refused, Count };
+
+constexpr std::size_t defaultReadLimit = 1000;
+
+class LogService {
+public:
+    explicit LogService(StandIn& process)
+        : process(process)
+    {
+        process.options().add_option("--retain-records", this->settings.retainRecords, "Records kept; 0 keeps all");
+        process.options().add_option("--retain-ms", this->settings.retainMs, "Age of kept records; 0 keeps all");
+        process.options().add_option(
+            "--appends-per-second", this->settings.appendsPerSecond, "Limit of the whole service; 0 for none");
+    }
+
+    void serve(const HttpRequest& request, const HttpExchange& exchange)
+    {
+        constexpr std::string_view prefix = "/streams/";
+        constexpr std::string_view suffix = "/records";
+        const auto path = request.path();
+        if (!path.starts_with(prefix) || !path.ends_with(suffix) || path.size() <= prefix.size() + suffix.size())
+            return exchange.respond(errorAnswer(404, "use /streams/NAME/records"));
+        const std::string name(path.substr(prefix.size(), path.size() - prefix.size() - suffix.size()));
+        if (request.method == "POST")
+            return this->append(name, request, exchange);
+        if (request.method == "GET")
+            return exchange.respond(this->read(name, request));
+        exchange.respond(errorAnswer(405, "use GET or POST"));
+    }
+
+    void reportState(json::object& object)
+    {
+        json::object names;
+        this->streams.forEach([&](Streams& shard) {
+            for (auto& [name, stream] : shard) {
+                this->dropExpired(stream);
+                names[name] = json::object { { "first", stream.first }, { "next", stream.next() } };
+            }
+        });
+        object["streams"] = std::move(names);
+        this->faults.with(0, [&](const Faults& current) {
+            object["appends"] = current.appends;
+            object["refused_appends"] = current.refused;
+            object["answers_lost"] = current.answersLost;
+        });
+    }
+
+    void setFaults(const json::object& object)
+    {
+        this->faults.with(0, [&](Faults& current) {
+            current.loseAnswers = integerOf(object, "lose_answers", current.loseAnswers);
+            current.appendDelay = Milliseconds(integerOf(object, "append_delay_ms", current.appendDelay.count()));
+            current.appendsPerSecond = static_cast<double>(
+                integerOf(object, "appends_per_second", static_cast<std::int64_t>(current.appendsPerSecond)));
+        });
+    }
+
+private:
+    void dropExpired(Stream& stream) const
+    {
+        const auto age = Milliseconds(this->settings.retainMs);
+        const auto now = RuntimeClock::now();
+        const auto expired = [&] {
+            if (this->settings.retainRecords > 0 && stream.records.size() > this->settings.retainRecords)
+                return true;
+            return age.count() > 0 && now - stream.records.front().appended > age;
+        };
+        while (!stream.records.empty() && expired()) {
+            stream.records.pop_front();
+            ++stream.first;
+        }
+    }
+
+    // The limit is a bucket that holds the appends of 100 ms, but at least one.
+    bool takeToken(Faults& current) const
+    {
+        const auto rate = current.appendsPerSecond > 0 ? current.appendsPerSecond : this->settings.appendsPerSecond;
+        if (rate <= 0)
+            return true;
+        const auto now = RuntimeClock::now();
+        const auto seconds = std::chrono::duration<double>(now - current.refilled).count();
+        current.tokens = std::min(std::max(1.0, rate / 10), current.tokens + seconds * rate);
+        current.refilled = now;
+        if (current.tokens < 1)
+            return false;
+        current.tokens -= 1;
+        return true;
+    }
+
+    Admission admit(Faults& current) const
+    {
+        if (!this->takeToken(current)) {
+            ++current.refused;
+            return Admission::Refused;
+        }
+        ++current.appends;
+        if (current.loseAnswers == 0)
+            return Admission::Accepted;
+        --current.loseAnswers;
+        ++current.answersLost;
+        return Admission::AnswerLost;
+    }
+
+    void append(const std::string& name, const HttpRequest& request, const HttpExchange& exchange)
+    {
+        if (!request.header("Append-Id"))
+            return exchange.respond(errorAnswer(400, "send the header Append-Id"));
+        Milliseconds delay { 0 };
+        const auto admission = this->faults.with(0, [&](Faults& current) {
+            delay = current.appendDelay;
+            return this->admit(current);
+        });
+        if (admission == Admission::Refused)
+            return exchange.respond(errorAnswer(429, "too many appends; try again later"));
+        const auto offset = this->streams.with(hashBytes(name), [&](Streams& shard) {
+            auto& stream = shard[name];
+            stream.records.push_back({ request.body, RuntimeClock::now() });
+            const auto last = stream.next() - 1;
+            this->dropExpired(stream);
+            return last;
+        });
+        if (admission == Admission::AnswerLost)
+            return exchange.abort();
+        const auto answer = jsonAnswer(200, { { "offset", offset } });
+        if (delay.count() == 0)
+            return exchange.respond(answer);
+        this->process.loop().after(delay, [exchange, answer] { exchange.respond(answer); });
+    }
+
+    static std::uint64_t numberOf(std::optional<std::string_view> text, std::uint64_t fallback)
+    {
+        std::uint64_t value = fallback;
+        if (text)
+            std::from_chars(text->data(), text->data() + text->size(), value);
+        return value;
+    }
+
+    HttpResponse read(const std::string& name, const HttpRequest& request)
+    {
+        const auto from = numberOf(request.query("from"), 0);
+        const auto limit = numberOf(request.query("limit"), defaultReadLimit);
+        json::array records;
+        json::object answer;
+        this->streams.with(hashBytes(name), [&](Streams& shard) {
+            auto& stream = shard[name];
+            this->dropExpired(stream);
+            answer["first"] = stream.first;
+            answer["next"] = stream.next();
+            for (auto offset = std::max(from, stream.first); offset < stream.next() && records.size() < limit; ++offset)
+                records.push_back(json::object {
+                    { "offset", offset }, { "data", toBase64(stream.records[offset - stream.first].data) } });
+        });
+        answer["records"] = std::move(records);
+        return jsonAnswer(200, answer);
+    }
+
+    StandIn& process;
+    Settings settings {};
+    Sharded<Streams> streams {};
+    Sharded<Faults, 1> faults {};
+};
+
+} // namespace
+
+/// Log service: append-only streams with offsets. Faults beside the common ones: `lose_answers` (number of appends
+/// that take effect and whose connection then closes), `append_delay_ms` (between the effect and its answer) and
+/// `appends_per_second`.
+int main(int argc, char** argv)
+{
+    StandIn process("log", "Stand-in for the log service");
+    LogService service(process);
+    Hooks hooks;
+    hooks.serve = [&](const HttpRequest& request, const HttpExchange& exchange) { service.serve(request, exchange); };
+    hooks.reportState = [&](json::object& object) { service.reportState(object); };
+    hooks.setFaults = [&](const json::object& object) { service.setFaults(object); };
+    return process.run(argc, argv, std::move(hooks));
+}
--- /dev/null
+++ b/standins/service/main.cpp
@@ -0,0 +1,136 @@
+#include "../standin.h"
+
+using namespace standin;
+
+namespace {
+
+struct Faults {
+    std::string mode = "none";
+    Milliseconds slow { 1000 };
+    // Names of the calls that the fault applies to; empty for all.
+    std::set<std::string> names {};
+    // Number of requests that the fault still applies to; negative without end.
+    std::int64_t remaining = -1;
+};
+
+/// Executions of one call id.
+struct Execution {
+    std::string name;
+    std::int64_t count = 0;
+};
+
+using Executions = std::map<std::string, Execution>;
+
+const std::set<std::string> modes { "none", "hang", "slow", "execute_then_close", "close", "status_500" };
+
+class Service {
+public:
+    explicit Service(StandIn& process)
+        : process(process)
+    {
+        process.options().add_option("--latency-ms", this->latencyMs, "Time that a call takes");
+    }
+
+    void serve(const HttpRequest& request, const HttpExchange& exchange)
+    {
+        constexpr std::string_view prefix = "/call/";
+        if (request.method != "POST" || !request.path().starts_with(prefix))
+            return exchange.respond(errorAnswer(404, "use POST /call/NAME"));
+        const auto callId = request.header("Call-Id");
+        if (!callId)
+            return exchange.respond(errorAnswer(400, "send the header Call-Id"));
+        const std::string name(request.path().substr(prefix.size()));
+        const auto fault = this->faultFor(name);
+        if (fault.mode == "close")
+            return exchange.abort();
+        if (fault.mode == "status_500")
+            return exchange.respond(errorAnswer(500, "the service failed before it executed the call"));
+        this->execute(std::string(*callId), name);
+        if (fault.mode == "hang")
+            return;
+        if (fault.mode == "execute_then_close")
+            return exchange.abort();
+        const auto time = Milliseconds(this->latencyMs) + (fault.mode == "slow" ? fault.slow : Milliseconds(0));
+        const auto answer = this->answerTo(name, request.body);
+        this->process.loop().after(time, [exchange, answer] { exchange.respond(answer); });
+    }
+
+    void reportState(json::object& object)
+    {
+        json::object calls;
+        json::object names;
+        std::int64_t repeated = 0;
+        this->executions.forEach([&](const Executions& shard) {
+            for (const auto& [callId, execution] : shard) {
+                calls[callId] = execution.count;
+                names[execution.name] = integerOf(names, execution.name, 0) + execution.count;
+                repeated += execution.count > 1 ? 1 : 0;
+            }
+        });
+        object["executions"] = std::move(calls);
+        object["executions_by_name"] = std::move(names);
+        object["repeated_calls"] = repeated;
+    }
+
+    void setFaults(const json::object& object)
+    {
+        this->faults.with(0, [&](Faults& current) {
+            const auto mode = textOf(object, "mode", current.mode);
+            if (modes.contains(mode))
+                current.mode = mode;
+            current.slow = Milliseconds(integerOf(object, "slow_ms", current.slow.count()));
+            current.remaining = integerOf(object, "count", -1);
+            current.names = textsOf(object, "names");
+        });
+    }
+
+private:
+    // Returns the fault that this request meets and counts it.
+    Faults faultFor(const std::string& name)
+    {
+        return this->faults.with(0, [&](Faults& current) {
+            const auto applies = current.remaining != 0 && (current.names.empty() || current.names.contains(name));
+            if (!applies)
+                return Faults {};
+            if (current.remaining > 0)
+                --current.remaining;
+            return current;
+        });
+    }
+
+    void execute(const std::string& callId, const std::string& name)
+    {
+        this->executions.with(hashBytes(callId), [&](Executions& shard) {
+            auto& execution = shard[callId];
+            execution.name = name;
+            ++execution.count;
+        });
+    }
+
+    static HttpResponse answerTo(const std::string& name, const std::string& body)
+    {
+        const auto result = fmt::format("{:016x}", hashBytes(body, hashBytes(name)));
+        return jsonAnswer(200, { { "call", name }, { "result", result } });
+    }
+
+    StandIn& process;
+    std::int64_t latencyMs = 5;
+    Sharded<Executions> executions {};
+    Sharded<Faults, 1> faults {};
+};
+
+} // namespace
+
+/// Plain service. Faults beside the common ones: `mode` (`none`, `hang`, `slow`, `execute_then_close`, `close` or
+/// `status_500`) with `slow_ms`, `names` (calls that it applies to) and `count` (requests that it applies to). A call
+/// that hangs has been executed.
+int main(int argc, char** argv)
+{
+    StandIn process("service", "Stand-in for a plain service");
+    Service service(process);
+    Hooks hooks;
+    hooks.serve = [&](const HttpRequest& request, const HttpExchange& exchange) { service.serve(request, exchange); };
+    hooks.reportState = [&](json::object& object) { service.reportState(object); };
+    hooks.setFaults = [&](const json::object& object) { service.setFaults(object); };
+    return process.run(argc, argv, std::move(hooks));
+}
--- /dev/null
+++ b/standins/standin.h
@@ -0,0 +1,270 @@
+#pragma once
+
+#include "peridotramp/runtime.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+#include <csignal>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+#include <set>
+
+/// Command line, faults and state report that all stand-ins share.
+namespace standin {
+
+using namespace peridotramp;
+namespace json = boost::json;
+
+/// Returns the JSON object in `text`; empty when the text is anything else.
+inline std::optional<json::object> parseObject(std::string_view text)
+{
+    boost::system::error_code error;
+    auto value = json::parse(json::string_view(text.data(), text.size()), error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    return std::move(value.as_object());
+}
+
+/// Returns a whole number of `object`, or `fallback` when the key is missing or holds something else.
+inline std::int64_t integerOf(const json::object& object, std::string_view key, std::int64_t fallback)
+{
+    const auto* value = object.if_contains(json::string_view(key.data(), key.size()));
+    if (value == nullptr || !value->is_number())
+        return fallback;
+    boost::system::error_code error;
+    const auto number = value->to_number<std::int64_t>(error);
+    return error ? fallback : number;
+}
+
+/// Returns a truth value of `object`, or `fallback` when the key is missing or holds something else.
+inline bool flagOf(const json::object& object, std::string_view key, bool fallback)
+{
+    const auto* value = object.if_contains(json::string_view(key.data(), key.size()));
+    return value != nullptr && value->is_bool() ? value->as_bool() : fallback;
+}
+
+/// Returns a text of `object`; numbers count as their decimal digits.
+inline std::string textOf(const json::object& object, std::string_view key, std::string fallback)
+{
+    const auto* value = object.if_contains(json::string_view(key.data(), key.size()));
+    if (value == nullptr || value->is_null())
+        return fallback;
+    return value->is_string() ? std::string(value->as_string()) : json::serialize(*value);
+}
+
+/// Returns the texts of an array of `object`.
+inline std::set<std::string> textsOf(const json::object& object, std::string_view key)
+{
+    std::set<std::string> texts;
+    const auto* value = object.if_contains(json::string_view(key.data(), key.size()));
+    if (value == nullptr || !value->is_array())
+        return texts;
+    for (const auto& item : value->as_array()) {
+        if (item.is_string())
+            texts.emplace(item.as_string());
+    }
+    return texts;
+}
+
+inline HttpResponse jsonAnswer(unsigned status, const json::object& object)
+{
+    return jsonResponse(status, json::serialize(object));
+}
+
+inline HttpResponse errorAnswer(unsigned status, std::string_view message)
+{
+    return jsonAnswer(status, { { "error", json::string_view(message.data(), message.size()) } });
+}
+
+/// What a stand-in adds to the common part. `serve` is required.
+struct Hooks {
+    std::function<void(HttpRequest, HttpExchange)> serve;
+    /// Called once, after the command line has been read and before the first request.
+    std::function<void()> start {};
+    /// Adds to the answer of `GET /state`.
+    std::function<void(json::object&)> reportState {};
+    /// Takes the object of `POST /faults`; keys that are missing keep their value.
+    std::function<void(const json::object&)> setFaults {};
+};
+
+/// One stand-in process. Faults of all stand-ins:
+/// - `outage`: `none`, `silent` (no answers), `close` (connections closed without an answer) or `refuse` (the listening
+///   socket is closed for `outage_ms`),
+/// - `delay_ms`: time before each request is served,
+/// - `cut`: values of the header `X-Client` whose requests get no answer.
+class StandIn {
+public:
+    StandIn(std::string name, const std::string& description)
+        : name(std::move(name))
+        , app(description)
+    {
+        this->app.add_option("--listen", this->listen, "Address HOST:PORT; port 0 lets the kernel choose");
+        this->app.add_option("--port-file", this->portFile, "File that takes the bound address");
+        this->app.add_option("--threads", this->threads, "Threads that serve requests");
+    }
+
+    /// Returns the command line, to which a stand-in adds its options before `run`.
+    CLI::App& options() { return this->app; }
+    /// Returns the event loop; valid from the call of `run` on.
+    Runtime& loop() { return *this->runtime; }
+
+    /// Serves until SIGTERM or SIGINT and returns the exit status.
+    int run(int argc, char** argv, Hooks standinHooks)
+    {
+        try {
+            this->app.parse(argc, argv);
+        } catch (const CLI::ParseError& error) {
+            return this->app.exit(error);
+        }
+        configureLog(LogLevel::Info, "standin-" + this->name);
+        const auto address = Address::parse(this->listen);
+        if (!address) {
+            log(LogLevel::Error, "the listen address is not HOST:PORT", { { "listen", this->listen } });
+            return 2;
+        }
+        this->hooks = std::move(standinHooks);
+        this->runtime = std::make_unique<Runtime>(Runtime::Init { this->threads });
+        this->runtime->onSignals({ SIGTERM, SIGINT }, [this](int) { this->runtime->stop(); });
+        if (this->hooks.start)
+            this->hooks.start();
+        try {
+            this->bind(*address);
+        } catch (const std::system_error& error) {
+            log(LogLevel::Error, "the listen address cannot be bound", { { "error", error.what() } });
+            return 2;
+        }
+        this->announce();
+        this->runtime->start();
+        this->runtime->waitForStop();
+        return 0;
+    }
+
+private:
+    struct Faults {
+        std::string outage = "none";
+        Milliseconds delay { 0 };
+        std::set<std::string> cut {};
+    };
+    struct Received {
+        std::map<std::string, std::set<std::string>> headers {};
+        std::int64_t requests = 0;
+    };
+
+    void bind(const Address& address)
+    {
+        HttpServer::Init init;
+        init.listen = address;
+        this->server = std::make_unique<HttpServer>(*this->runtime, init,
+            [this](HttpRequest request, const HttpExchange& exchange) { this->receive(std::move(request), exchange); });
+        this->bound = this->server->address();
+    }
+
+    void announce() const
+    {
+        if (!this->portFile.empty()) {
+            // The rename lets a waiting reader see either no file or the whole address.
+            const auto temporary = this->portFile + ".new";
+            std::ofstream(temporary) << this->bound.toString() << "\n";
+            std::rename(temporary.c_str(), this->portFile.c_str());
+        }
+        std::cout << "listening " << this->bound.toString() << std::endl;
+    }
+
+    void receive(HttpRequest request, const HttpExchange& exchange)
+    {
+        if (request.path() == "/faults" && request.method == "POST")
+            return this->answerFaults(request, exchange);
+        if (request.path() == "/state" && request.method == "GET")
+            return exchange.respond(jsonAnswer(200, this->state()));
+        this->record(request);
+        const auto client = std::string(request.header("X-Client").value_or(""));
+        const auto now = this->faults.with(0, [](const Faults& current) { return current; });
+        if (now.outage == "close" || now.outage == "refuse")
+            return exchange.abort();
+        if (now.outage != "none" || now.cut.contains(client))
+            return;
+        if (now.delay.count() == 0)
+            return this->hooks.serve(std::move(request), exchange);
+        this->runtime->after(
+            now.delay, [this, request = std::move(request), exchange] { this->hooks.serve(request, exchange); });
+    }
+
+    void record(const HttpRequest& request)
+    {
+        for (const auto& header : request.headers) {
+            this->received.with(
+                hashBytes(header.name), [&](Received& shard) { shard.headers[header.name].insert(header.value); });
+        }
+        this->received.with(0, [](Received& shard) { ++shard.requests; });
+    }
+
+    void answerFaults(const HttpRequest& request, const HttpExchange& exchange)
+    {
+        const auto object = parseObject(request.body);
+        if (!object)
+            return exchange.respond(errorAnswer(400, "send the faults as a JSON object"));
+        const auto outage = textOf(*object, "outage", "");
+        if (!outage.empty() && !std::set<std::string> { "none", "silent", "close", "refuse" }.contains(outage))
+            return exchange.respond(errorAnswer(400, "outage must be none, silent, close or refuse"));
+        this->faults.with(0, [&](Faults& current) {
+            current.outage = outage.empty() ? current.outage : outage;
+            current.delay = Milliseconds(integerOf(*object, "delay_ms", current.delay.count()));
+            if (object->contains("cut"))
+                current.cut = textsOf(*object, "cut");
+        });
+        if (this->hooks.setFaults)
+            this->hooks.setFaults(*object);
+        exchange.respond(jsonAnswer(200, { { "accepted", true } }));
+        if (outage == "refuse")
+            this->refuseFor(Milliseconds(integerOf(*object, "outage_ms", 1000)));
+    }
+
+    // Closes the listening socket; open connections end at their next request, which gets no answer.
+    void refuseFor(Milliseconds time)
+    {
+        this->server->stopAccepting();
+        this->runtime->after(time, [this] { this->bindAgain(); });
+    }
+
+    void bindAgain()
+    {
+        try {
+            this->faults.with(0, [](Faults& current) { current.outage = "none"; });
+            this->bind(this->bound);
+        } catch (const std::system_error& error) {
+            log(LogLevel::Warning, "the listen address cannot be bound; trying again", { { "error", error.what() } });
+            this->runtime->after(Milliseconds(50), [this] { this->bindAgain(); });
+        }
+    }
+
+    json::object state()
+    {
+        json::object headers;
+        std::int64_t requests = 0;
+        this->received.forEach([&](const Received& shard) {
+            requests += shard.requests;
+            for (const auto& [header, values] : shard.headers)
+                headers[header] = json::array(values.begin(), values.end());
+        });
+        json::object object { { "standin", this->name }, { "requests", requests }, { "headers", std::move(headers) } };
+        if (this->hooks.reportState)
+            this->hooks.reportState(object);
+        return object;
+    }
+
+    std::string name;
+    CLI::App app;
+    std::string listen = "127.0.0.1:0";
+    std::string portFile {};
+    std::size_t threads = 2;
+    Hooks hooks {};
+    std::unique_ptr<Runtime> runtime {};
+    std::unique_ptr<HttpServer> server {};
+    Address bound {};
+    Sharded<Faults, 1> faults {};
+    Sharded<Received> received {};
+};
+
+} // namespace standin
