--- a/include/peridotramp/ownership.h
+++ b/include/peridotramp/ownership.h
@@ -142,7 +142,7 @@
 struct Claim {
     CallId call;
     AttemptNumber attempt;
-    /// `Unknown` for a claim without an outcome and for one whose outcome cannot be known.
+    /// The outcome cannot be known; the call id is never dispatched again.
     bool closed = false;
 
     bool operator==(const Claim&) const = default;
@@ -155,6 +155,7 @@
     Digest digest;
     std::vector<Claim> claims;
     std::optional<ProgramEnded> ended;
+    UnixTime written { 0 };
 
     bool operator==(const ProgramCheckpoint&) const = default;
 };
@@ -401,7 +402,8 @@
     void failed(TimePoint now, AppendId appendId);
     /// Reports a group that `PartitionLog` applied and returns the records whose fate it settles.
     std::vector<AppendResolution> applied(const AppliedGroup& group);
-    /// Withdraws a record that has not been sent. Returns false when it has been, and may take effect.
+    /// Withdraws a record that has not been sent. Returns false when it has been, and may take effect. Meant for
+    /// claims; a withdrawn budget record leaves its program without the reservation.
     bool cancel(AppendTicket ticket);
     /// Returns what is known of an unresolved record; a resolved one is `Unknown` here.
     AppendState state(AppendTicket ticket) const;
--- a/include/peridotramp/programs.h
+++ b/include/peridotramp/programs.h
@@ -128,6 +128,8 @@
 /// The call is refused. The error's outcome says what is known of the call id, not only of this request.
 struct RefuseCall {
     Error error;
+    /// Records to append, for example to clear a claim.
+    std::vector<PartitionRecord> records;
 };
 
 using CallDecision = std::variant<DispatchNow, ClaimFirst, ReplayOutcome, JoinRunning, RefuseCall>;
@@ -153,6 +155,8 @@
 
 /// State of a program after a call.
 struct FinishedCall {
+    /// What the caller is told: `Unknown` for an attempt that did not run when an earlier one may have.
+    Outcome outcome = Outcome::Unknown;
     TurnNumber turn;
     Digest digest;
     /// Last turn that was read back from the log; the caller keeps and resends later ones.
@@ -215,6 +219,8 @@
     /// Invalid when no call runs.
     CallId running;
     std::size_t openClaims = 0;
+    /// Claims whose outcome is unknown for good.
+    std::size_t unknownClaims = 0;
     std::optional<EndReason> ended;
 };
 
@@ -252,12 +258,14 @@
     Result<BegunProgram> begin(TimePoint now, const BeginRequest& request, Authority authority);
     /// Decides on a call.
     CallDecision admitCall(TimePoint now, const CallRequest& request, Authority authority);
-    /// Reports the fate of the last record of a `ClaimFirst`: returns `DispatchNow` or `RefuseCall`.
+    /// Reports the fate of the last record of a `ClaimFirst`: returns `DispatchNow` or `RefuseCall`, and `JoinRunning`
+    /// while the fate is not known.
     CallDecision claimResolved(
         TimePoint now, ProgramId program, CallId call, AttemptNumber attempt, AppendState state, Authority authority);
-    /// Gives up a call that waits for its claim, for example at the caller's deadline. Returns the records that clear
-    /// the claim, to be appended; empty when the call does not wait (any more).
-    std::optional<std::vector<PartitionRecord>> abandonClaim(ProgramId program, CallId call, AttemptNumber attempt);
+    /// Gives up a call that waits for its claim, for example at the caller's deadline. Returns `DeadlineExceeded` with
+    /// the records that clear the claim; empty when the call does not wait (any more).
+    std::optional<RefuseCall> abandonClaim(
+        TimePoint now, ProgramId program, CallId call, AttemptNumber attempt, Authority authority);
     /// Ends a dispatched call. Errors: `UnknownProgram`, `UnknownCall` for an attempt that is not running,
     /// `ProgramEnded`.
     Result<FinishedCall> finishCall(
--- /dev/null
+++ b/src/decisions/ownership/leasevoter.cpp
@@ -0,0 +1,54 @@
+#include "peridotramp/ownership.h"
+
+#include <algorithm>
+
+namespace peridotramp {
+
+namespace {
+
+Milliseconds remaining(TimePoint now, TimePoint until)
+{
+    return std::max(Milliseconds(1), std::chrono::ceil<Milliseconds>(until - now));
+}
+
+} // namespace
+
+// The process may have promised or released something just before it restarted, so it answers nothing until both
+// would have lapsed.
+LeaseVoter::LeaseVoter(TimePoint startedAt, LeaseSettings settings)
+    : votesFrom(startedAt + settings.length + settings.driftMargin)
+    , settings(settings)
+{
+}
+
+LeaseAnswer LeaseVoter::answer(TimePoint now, const LeaseQuestion& question)
+{
+    if (now < this->votesFrom)
+        return { false, remaining(now, this->votesFrom) };
+    auto& vote = this->votes[question.partition];
+    return question.kind == LeaseQuestionKind::Promise ? this->promise(now, question.epoch, vote)
+                                                       : this->release(now, question.epoch, vote);
+}
+
+LeaseAnswer LeaseVoter::promise(TimePoint now, Epoch epoch, Vote& vote) const
+{
+    if (epoch < vote.oldestHelped)
+        return { false, Milliseconds(0) };
+    vote.oldestHelped = epoch;
+    vote.promisedTo = epoch;
+    vote.promisedUntil = now + this->settings.length;
+    return { true, Milliseconds(0) };
+}
+
+LeaseAnswer LeaseVoter::release(TimePoint now, Epoch epoch, Vote& vote) const
+{
+    if (epoch < vote.oldestHelped)
+        return { false, Milliseconds(0) };
+    // No promise to the old owner is renewed from here on, or its successor would wait for ever.
+    vote.oldestHelped = epoch;
+    if (vote.promisedTo < epoch && now <= vote.promisedUntil)
+        return { false, remaining(now, vote.promisedUntil) };
+    return { true, Milliseconds(0) };
+}
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/decisions/programs/program.cpp
@@ -0,0 +1,131 @@
+#include "programs_p.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace peridotramp {
+
+namespace {
+
+constexpr int serialBits = 48;
+constexpr std::uint64_t serialMask = (1ULL << serialBits) - 1;
+/// A reservation this many chunks above need is given back. Lower values cost appends when the worst cases of
+/// successive calls differ.
+constexpr std::int64_t chunksKept = 4;
+
+std::string_view bytesOf(const std::uint64_t& value)
+{
+    return { reinterpret_cast<const char*>(&value), sizeof(value) };
+}
+
+std::string_view bytesOf(const Digest& digest)
+{
+    return { reinterpret_cast<const char*>(digest.bytes.data()), digest.bytes.size() };
+}
+
+Spending times(Spending spending, std::int64_t factor)
+{
+    return { { spending.tokens.value * factor }, { spending.calls.value * factor } };
+}
+
+} // namespace
+
+PartitionId partitionOf(ProgramId program) { return PartitionId { program.value >> serialBits }; }
+
+ProgramId makeProgramId(PartitionId partition, std::uint64_t serial)
+{
+    return ProgramId { (partition.value << serialBits) | (serial & serialMask) };
+}
+
+// Integers enter in the host's byte order; all nodes of a fleet run on little-endian machines.
+Digest turnDigest(
+    const Digest& previous, ProgramId program, TurnNumber turn, std::string_view input, std::string_view output)
+{
+    const auto number = static_cast<std::uint64_t>(turn.value);
+    return digestOf({ bytesOf(previous), bytesOf(program.value), bytesOf(number), input, output });
+}
+
+Error notRun(const NotRunProof&, ErrorKind kind, std::string detail, Milliseconds retryAfter)
+{
+    return { kind, Outcome::NotRun, std::move(detail), retryAfter };
+}
+
+std::optional<NotRunProof> WriteGuard::proof() const
+{
+    return this->written ? std::nullopt : std::optional(NotRunProof {});
+}
+
+Spending Program::committed() const
+{
+    return this->spent + this->children + (this->running ? this->running->worst : Spending {});
+}
+
+Spending Program::limit() const
+{
+    return std::accumulate(this->reservations.begin(), this->reservations.end(), this->budget(), least);
+}
+
+const Turn* Program::findTurn(CallId call) const
+{
+    const auto found = std::ranges::find(this->turns.rbegin(), this->turns.rend(), call, &Turn::call);
+    return found == this->turns.rend() ? nullptr : &*found;
+}
+
+Claim* Program::findClaim(CallId call)
+{
+    const auto found = std::ranges::find(this->claims, call, &Claim::call);
+    return found == this->claims.end() ? nullptr : &*found;
+}
+
+void Program::removeClaim(CallId call)
+{
+    std::erase_if(this->claims, [call](const Claim& claim) { return claim.call == call; });
+}
+
+/// Returns whether a call without a recorded outcome may have run. The log shows all claims, but not the idempotent
+/// calls of an earlier owner.
+bool Program::mayHaveRun(CallId call, bool idempotent) const
+{
+    const bool ran = std::ranges::find(this->attempted, call) != this->attempted.end();
+    return ran || (idempotent && this->inherited);
+}
+
+void Program::commit(Turn turn, const Digest& digest)
+{
+    this->removeClaim(turn.call);
+    std::erase(this->attempted, turn.call);
+    this->turns.push_back(std::move(turn));
+    this->digests.push_back(digest);
+}
+
+BudgetReserved Program::reserve(Spending extra, Spending chunk)
+{
+    const auto wanted = least(this->budget(), this->committed() + extra + chunk);
+    this->reservations.push_back(greatest(wanted, this->limit()));
+    return { this->id(), this->reservations.back() };
+}
+
+std::optional<BudgetReserved> Program::adjustReservation(Spending chunk)
+{
+    if (!this->confirmed || this->reservations.size() > 1)
+        return std::nullopt;
+    const auto free = this->limit() - this->committed();
+    const auto wanted = least(this->budget(), this->committed() + chunk);
+    const bool tooLarge = free.tokens > times(chunk, chunksKept).tokens || free.calls > times(chunk, chunksKept).calls;
+    const bool nearlyUsed = free.tokens.value < chunk.tokens.value / 2 || free.calls.value < chunk.calls.value / 2;
+    if (!tooLarge && !nearlyUsed)
+        return std::nullopt;
+    if (wanted == this->limit() || (nearlyUsed && wanted.fitsIn(this->limit())))
+        return std::nullopt;
+    this->reservations.push_back(wanted);
+    return BudgetReserved { this->id(), wanted };
+}
+
+ProgramCheckpoint Program::checkpoint(UnixTime written) const
+{
+    ProgramCheckpoint record { this->begun, this->turns, this->digest(), this->claims, this->ended, written };
+    record.begun.reserved = this->reservations.back();
+    return record;
+}
+
+} // namespace peridotramp
