Add tools/measure, which compares both presets with the baseline in virtual time

Cause: the policies were unmeasured. Change: fakes of engines (continuous batching, chunked prefill, prefix cache, cold start) and generated programs drive the decision libraries; the table shows the measures of section 2.2 with the ratio to the baseline on the same seeds.

--- a/include/peridotramp/endpointpool.h
+++ b/include/peridotramp/endpointpool.h
@@ -112,7 +112,8 @@
     EndpointResult result = EndpointResult::Succeeded;
     /// Time from the request to its first token; empty when there was none.
     std::optional<Duration> firstToken {};
-    /// Prompt tokens that the engine had to process, for which a longer first-token latency is normal.
+    /// Prompt tokens that the engine had to process before the first token, for which a longer latency is normal: the
+    /// uncached ones of this call and of the holder's calls that were ahead of it.
     TokenCount uncachedTokens {};
 };
 
--- a/tests/endpointpool/pool.cpp
+++ b/tests/endpointpool/pool.cpp
@@ -35,6 +35,17 @@
     REQUIRE(pool.tryAcquire(now, request(engineA, 99)).refusal == PermitRefusal::WindowFull);
 }
 
+TEST_CASE("a first token that is late because of long prompts is no sign of a cold endpoint")
+{
+    const auto now = at(Seconds(1));
+    auto pool = ownedPool(8);
+    warmUp(pool, now, 8);
+    const auto answer = pool.tryAcquire(now, request(engineA, 1));
+    pool.release(now, *answer.permit, { EndpointResult::Succeeded, Seconds(8), { 60'000 } });
+    REQUIRE(pool.stats().coldSigns == 0);
+    REQUIRE(pool.view(now, engineA)->window.value == 8);
+}
+
 TEST_CASE("a wrong prior of the normal latency is put right, so that a slow model does not stay cold for ever")
 {
     auto pool = ownedPool(4);
--- /dev/null
+++ b/tools/measure/fleet.cpp
@@ -0,0 +1,383 @@
+#include "fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace measure {
+
+using namespace peridotramp;
+
+namespace {
+
+constexpr double longestBucketWait = 0.5;
+constexpr double shortestRetry = 0.5;
+constexpr double longestRetry = 5;
+constexpr int refusalsToGiveUp = 8;
+constexpr double failureRetry = 0.2;
+// Hops between entry instances; the policy also asks the endpoint's owner for a permit.
+constexpr double baselineHop = 0.002;
+constexpr double policyHop = 0.006;
+constexpr double tickEvery = 0.25;
+constexpr double drainTime = 1200;
+constexpr double serviceGain = 0.1;
+
+std::uint64_t mix(std::initializer_list<std::uint64_t> parts)
+{
+    const std::vector<std::uint64_t> values(parts);
+    return hashBytes({ reinterpret_cast<const char*>(values.data()), values.size() * sizeof(std::uint64_t) });
+}
+
+} // namespace
+
+void FakeBucket::refill(double now)
+{
+    this->level = std::min(this->burst, this->level + this->rate * (now - this->updated));
+    this->updated = now;
+}
+
+std::optional<double> FakeBucket::take(double now, double longestWait, double& retryAfter)
+{
+    this->refill(now);
+    const auto wait = std::max(0.0, (1 - this->level) / this->rate);
+    retryAfter = wait;
+    if (wait > longestWait)
+        return std::nullopt;
+    this->level -= 1;
+    return wait;
+}
+
+Run::Run(
+    const Deployment& deployment, const Policy& policy, const std::vector<ProgramSpec>& programs, std::uint64_t seed)
+    : deployment(deployment)
+    , policy(policy)
+    , specs(programs)
+    , seed(seed)
+    , managed(policy.admissionHook(1) == 1)
+    , indexes(deployment.groups.size())
+    , programs(programs.size())
+{
+    this->result.slowdowns.resize(deployment.workspaces.size());
+    this->addEndpoints();
+    this->addBuckets();
+}
+
+Duration Run::toDuration(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+void Run::addEndpoints()
+{
+    constexpr Duration leaseForRun = Seconds(1'000'000);
+    std::uint64_t next = 0;
+    for (std::size_t group = 0; group < this->deployment.groups.size(); ++group) {
+        const auto& spec = this->deployment.groups[group];
+        for (std::size_t index = 0; index < spec.endpoints; ++index) {
+            const EndpointId id { next++ };
+            const DomainId domain { index % this->deployment.domains };
+            const EngineSpec engine { spec.slots, spec.cacheTokens };
+            this->endpoints.push_back(
+                { id, domain, group, FakeEngine(this->loop, engine, id), FairQueue({ this->policy }) });
+            const std::vector models { ModelId { group } };
+            this->pool.configure(
+                this->now(), { id, domain, EndpointGroupId { group }, EndpointKind::Engine, models, { spec.slots } });
+            this->pool.own(this->now(), id, Epoch { 1 }, this->now() + leaseForRun);
+            this->ledger.own(id, Epoch { 1 });
+            this->refresh(this->endpoints.back());
+        }
+    }
+}
+
+void Run::addBuckets()
+{
+    const auto nodes = static_cast<double>(this->deployment.entryInstances);
+    for (const auto& workspace : this->deployment.workspaces) {
+        const FakeBucket shared { workspace.requestRate, workspace.requestBurst, workspace.requestBurst };
+        const FakeBucket local { shared.rate / nodes, shared.burst / nodes, shared.burst / nodes };
+        this->sharedBuckets.push_back(shared);
+        this->localBuckets.emplace_back(this->deployment.entryInstances, local);
+    }
+}
+
+RunResult Run::run()
+{
+    for (std::size_t index = 0; index < this->specs.size(); ++index) {
+        if (!this->specs[index].isChild)
+            this->loop.after(this->specs[index].arrival, [this, index] { this->begin(index, std::nullopt); });
+    }
+    this->loop.after(this->deployment.leavesAt, [this] { this->leave(); });
+    this->loop.after(this->deployment.returnsAt, [this] { this->comeBack(); });
+    this->loop.after(tickEvery, [this] { this->tick(); });
+    this->loop.run(this->deployment.duration + drainTime);
+    this->result.unfinished = this->live;
+    for (std::size_t group = 0; group < this->deployment.groups.size(); ++group) {
+        double used = 0;
+        for (const auto& endpoint : this->endpoints)
+            used += endpoint.group == group ? endpoint.engine.usedSeconds() : 0;
+        const auto engines = static_cast<double>(this->deployment.groups[group].endpoints);
+        this->result.utilisation.push_back(used / (engines * this->deployment.duration));
+    }
+    this->result.coldSigns = this->pool.stats().coldSigns;
+    for (const auto& endpoint : this->endpoints)
+        this->result.crashes += endpoint.engine.crashes();
+    return this->result;
+}
+
+void Run::begin(std::size_t index, std::optional<std::size_t> parent)
+{
+    auto& program = this->programs[index];
+    program.spec = &this->specs[index];
+    program.parent = parent;
+    program.started = this->loop.now();
+    ++this->live;
+    this->service.begin(ProgramId { index }, parent ? std::optional(ProgramId { *parent }) : std::nullopt);
+    this->request(index);
+}
+
+void Run::request(std::size_t index)
+{
+    auto& program = this->programs[index];
+    const auto workspace = program.spec->workspace;
+    const auto time = this->loop.now();
+    const bool isGreedy = this->deployment.workspaces[workspace].greedy > 1;
+    this->result.requests += isGreedy ? 0 : 1;
+    auto& shared = this->sharedBuckets[workspace];
+    const auto node = mix({ this->seed, index, program.turn, program.calls++ }) % this->deployment.entryInstances;
+    double retryAfter = 0;
+    const auto wait = this->managed ? shared.take(time, longestBucketWait, retryAfter)
+                                    : this->localBuckets[workspace][node].take(time, 0, retryAfter);
+    if (wait) {
+        program.refusals = 0;
+        if (!this->managed) {
+            double unused = 0;
+            shared.take(time, std::numeric_limits<double>::infinity(), unused);
+        }
+        this->loop.after(*wait + (this->managed ? policyHop : baselineHop), [this, index] { this->enqueue(index); });
+        return;
+    }
+    shared.refill(time);
+    this->result.refusals += isGreedy ? 0 : 1;
+    this->result.wrongfulRefusals += !isGreedy && shared.level >= 1 ? 1 : 0;
+    if (isGreedy && ++program.refusals >= refusalsToGiveUp) {
+        this->end(index, false);
+        return;
+    }
+    this->loop.after(std::clamp(retryAfter, shortestRetry, longestRetry), [this, index] { this->request(index); });
+}
+
+EndpointId Run::choose(const QueuedCall& call, std::size_t group)
+{
+    std::vector<std::pair<EndpointId, TokenCount>> holders;
+    if (this->managed) {
+        for (const auto id : this->ledger.holders(call.program)) {
+            if (this->endpoints[id.value].group == group)
+                holders.emplace_back(id, this->ledger.held(id, call.program));
+        }
+        return this->indexes[group].place(this->policy, call, holders);
+    }
+    std::vector<EndpointView> views;
+    for (const auto& endpoint : this->endpoints) {
+        if (endpoint.group == group)
+            views.push_back({ endpoint.id, endpoint.domain, {}, {}, {}, this->domainShare(endpoint.domain) });
+    }
+    return place(this->policy, call, views);
+}
+
+void Run::enqueue(std::size_t index)
+{
+    auto& program = this->programs[index];
+    if (program.ended)
+        return;
+    const auto& turn = this->turnOf(program);
+    QueuedCall call { CallId { program.calls++ * this->programs.size() + index }, ProgramId { index },
+        WorkspaceId { program.spec->workspace }, ModelId { turn.group }, DomainId { program.spec->domain } };
+    call.arrival = this->now();
+    call.attained = this->service.attained(call.program);
+    call.history.value = turn.group == 0 ? program.history : 0;
+    const auto id = this->choose(call, turn.group);
+    auto& endpoint = this->endpoints[id.value];
+    const auto held = std::min(call.history.value, this->ledger.held(id, call.program).value);
+    call.expected = { { turn.input + call.history.value - held }, { std::llround(this->deployment.outputMedian) } };
+    endpoint.queue.push(this->now(), call);
+    endpoint.queued.emplace(call.call, index);
+    endpoint.prefillBacklog += call.expected.prefill.value;
+    this->drain(endpoint);
+}
+
+void Run::drain(Endpoint& endpoint)
+{
+    while (!endpoint.queue.isEmpty()) {
+        if (this->managed) {
+            const auto view = this->pool.view(this->now(), endpoint.id);
+            const auto allowed = this->policy.admissionHook(view->window.value) - view->held.value;
+            if (view->room.value <= 0 || allowed <= 0)
+                break;
+        }
+        const auto call = *endpoint.queue.pop(this->now());
+        const auto index = endpoint.queued.at(call.call);
+        endpoint.queued.erase(call.call);
+        if (this->dispatch(endpoint, call, index))
+            continue;
+        // The retry was refused; the caller sends the call again.
+        endpoint.prefillBacklog -= call.expected.prefill.value;
+        this->programs[index].attempt = 0;
+        this->loop.after(1, [this, index] { this->request(index); });
+    }
+    this->refresh(endpoint);
+}
+
+bool Run::dispatch(Endpoint& endpoint, const QueuedCall& call, std::size_t index)
+{
+    auto& program = this->programs[index];
+    const auto& turn = this->turnOf(program);
+    auto dispatch = std::make_shared<Dispatch>(Dispatch { index, call, std::nullopt, this->loop.now() });
+    if (this->managed) {
+        const auto answer = this->pool.tryAcquire(
+            this->now(), { endpoint.id, NodeId { 0 }, Incarnation { 1 }, call.call, program.attempt, true });
+        if (!answer)
+            return false;
+        dispatch->permit = answer.permit;
+    }
+    ++endpoint.inFlight;
+    EngineCall request { call.program, program.spec->workspace, this->deployment.guide, call.history.value, turn.input,
+        turn.output };
+    if (turn.group != 0)
+        request.guideTokens = 0;
+    endpoint.runningPrefill += call.expected.prefill.value;
+    dispatch->ahead = endpoint.runningPrefill;
+    request.firstToken = [&endpoint, dispatch] {
+        dispatch->prefilling = false;
+        endpoint.prefillBacklog -= dispatch->call.expected.prefill.value;
+        endpoint.runningPrefill -= dispatch->call.expected.prefill.value;
+    };
+    request.done
+        = [this, &endpoint, dispatch](const EngineAnswer& answer) { this->answered(endpoint, *dispatch, answer); };
+    endpoint.engine.submit(std::move(request));
+    return true;
+}
+
+void Run::answered(Endpoint& endpoint, Dispatch dispatch, const EngineAnswer& answer)
+{
+    auto& program = this->programs[dispatch.program];
+    --endpoint.inFlight;
+    if (dispatch.prefilling) {
+        endpoint.prefillBacklog -= dispatch.call.expected.prefill.value;
+        endpoint.runningPrefill -= dispatch.call.expected.prefill.value;
+    }
+    const bool succeeded = answer.result == EndpointResult::Succeeded;
+    if (this->managed) {
+        CallReport report { answer.result };
+        if (succeeded)
+            report = { answer.result, toDuration(answer.firstToken), { dispatch.ahead } };
+        this->pool.release(this->now(), *dispatch.permit, report);
+    }
+    if (succeeded)
+        this->succeed(endpoint, dispatch, answer);
+    else {
+        ++program.attempt;
+        this->loop.after(failureRetry, [this, index = dispatch.program] { this->enqueue(index); });
+    }
+    this->drain(endpoint);
+}
+
+void Run::succeed(Endpoint& endpoint, const Dispatch& dispatch, const EngineAnswer& answer)
+{
+    auto& program = this->programs[dispatch.program];
+    const auto turn = this->turnOf(program);
+    const TokenUse actual { { answer.prefilled }, { turn.output } };
+    endpoint.queue.correct(dispatch.call.workspace, dispatch.call.expected, actual);
+    const auto served = this->loop.now() - dispatch.at;
+    endpoint.meanService += serviceGain * (served - endpoint.meanService);
+    this->service.add(dispatch.call.program, toDuration(served));
+    this->result.promptTokens += dispatch.call.history.value + turn.input;
+    this->result.recomputedTokens += answer.recomputed;
+    if (turn.group == 0)
+        program.history += turn.input + turn.output;
+    program.attempt = 0;
+    this->ledger.recordUse(
+        this->now(), endpoint.id, dispatch.call.program, { dispatch.call.history.value + turn.input + turn.output });
+    ++program.turn;
+    if (program.turn < program.spec->turns.size())
+        this->pauseBetweenTurns(endpoint, dispatch.program);
+    program.childrenLeft = turn.children.size();
+    for (const auto child : turn.children)
+        this->begin(child, dispatch.program);
+    if (turn.children.empty())
+        this->nextTurn(dispatch.program);
+}
+
+void Run::pauseBetweenTurns(Endpoint& endpoint, std::size_t index)
+{
+    const auto held = this->ledger.held(endpoint.id, ProgramId { index });
+    const EngineSpec spec;
+    ToolPause pause { ProgramId { index }, held, toDuration(this->deployment.pauseMedian) };
+    pause.recompute = toDuration(static_cast<double>(held.value) * spec.prefillPerToken);
+    pause.memoryUsed = endpoint.engine.memoryUsed();
+    pause.leaving = this->domainShare(endpoint.domain) <= 0;
+    switch (this->policy.retentionHook(pause)) {
+    case Retention::Move:
+        this->moveAway(endpoint, index);
+        break;
+    case Retention::Release:
+        this->ledger.dropPrefix(this->now(), endpoint.id, ProgramId { index });
+        break;
+    default:
+        break;
+    }
+}
+
+void Run::nextTurn(std::size_t index)
+{
+    const auto& program = this->programs[index];
+    if (program.ended)
+        return;
+    if (program.turn >= program.spec->turns.size()) {
+        this->end(index, true);
+        return;
+    }
+    this->loop.after(this->turnOf(program).pause, [this, index] { this->request(index); });
+}
+
+double Run::idealLatency(std::size_t index) const
+{
+    const EngineSpec spec;
+    double total = 0;
+    for (const auto& turn : this->specs[index].turns) {
+        const auto perToken = spec.stepBase + spec.stepPerSequence;
+        total += turn.pause + static_cast<double>(turn.input) * spec.prefillPerToken
+            + static_cast<double>(turn.output) * perToken;
+        double children = 0;
+        for (const auto child : turn.children)
+            children = std::max(children, this->idealLatency(child));
+        total += children;
+    }
+    return total;
+}
+
+void Run::end(std::size_t index, bool completed)
+{
+    auto& program = this->programs[index];
+    const auto workspace = program.spec->workspace;
+    program.ended = true;
+    --this->live;
+    this->ledger.programEnded(this->now(), ProgramId { index });
+    this->service.end(ProgramId { index });
+    if (!completed)
+        ++this->result.abandoned;
+    if (program.parent) {
+        if (--this->programs[*program.parent].childrenLeft == 0)
+            this->nextTurn(*program.parent);
+        return;
+    }
+    const bool isWithinGrant = this->deployment.workspaces[workspace].greedy <= 1;
+    if (!completed || !isWithinGrant)
+        return;
+    const auto latency = this->loop.now() - program.started;
+    this->result.latencies.push_back(latency);
+    if (this->loop.now() >= this->deployment.leavesAt && this->loop.now() < this->deployment.moveEnds)
+        this->result.moveLatencies.push_back(latency);
+    this->result.slowdowns[workspace].first += latency / this->idealLatency(index);
+    ++this->result.slowdowns[workspace].second;
+}
+
+} // namespace measure
--- /dev/null
+++ b/tools/measure/workload.cpp
@@ -0,0 +1,155 @@
+#include "workload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace measure {
+
+namespace {
+
+constexpr std::size_t mostTurns = 78;
+constexpr double longestPause = 120;
+constexpr double burstFactor = 2.5;
+constexpr double burstEvery = 120;
+constexpr double burstLength = 20;
+// A grant is this many times the usual rate, so that usual traffic and its bursts fit in.
+constexpr double grantFactor = 1.5;
+constexpr double burstSeconds = 20;
+
+using Random = std::mt19937_64;
+
+double uniform(Random& random) { return std::uniform_real_distribution<double>(0, 1)(random); }
+
+// Lognormal: its upper tail is that of turns, prompts and tool times in agent traces.
+double heavy(Random& random, double median, double sigma)
+{
+    return std::lognormal_distribution<double>(std::log(median), sigma)(random);
+}
+
+std::int64_t tokens(Random& random, double median, double sigma, double most)
+{
+    return std::max<std::int64_t>(8, std::llround(std::min(most, heavy(random, median, sigma))));
+}
+
+Turn makeTurn(Random& random, const Deployment& deployment, bool isFirst)
+{
+    Turn turn;
+    turn.pause = isFirst ? 0 : std::min(longestPause, heavy(random, deployment.pauseMedian, 1));
+    turn.input = tokens(random, isFirst ? deployment.firstPrompt : deployment.inputMedian, 0.8, 60'000);
+    turn.output = tokens(random, deployment.outputMedian, 0.7, 2000);
+    const bool isSecond = !isFirst && uniform(random) < deployment.secondGroup;
+    if (!isSecond)
+        return turn;
+    // Calls of the second group are short and independent of the history.
+    turn.group = 1;
+    turn.input = tokens(random, 800, 0.5, 4000);
+    turn.output = tokens(random, deployment.outputMedian, 0.5, 1000);
+    return turn;
+}
+
+std::size_t addProgram(Random& random, const Deployment& deployment, ProgramSpec program, double turnsMedian,
+    std::vector<ProgramSpec>& programs)
+{
+    const auto count = std::clamp<std::size_t>(std::llround(heavy(random, turnsMedian, 0.8)), 1, mostTurns);
+    for (std::size_t index = 0; index < count; ++index)
+        program.turns.push_back(makeTurn(random, deployment, index == 0));
+    const bool hasChildren = !program.isChild && count > 2 && uniform(random) < deployment.subAgents;
+    if (hasChildren) {
+        const auto parent = program;
+        auto& children = program.turns[count / 2].children;
+        const auto number = 2 + random() % 3;
+        for (std::size_t child = 0; child < number; ++child) {
+            const ProgramSpec spec { parent.workspace, parent.domain, 0, true };
+            children.push_back(addProgram(random, deployment, spec, 3, programs));
+        }
+    }
+    programs.push_back(std::move(program));
+    return programs.size() - 1;
+}
+
+void addWorkspace(
+    Random& random, const Deployment& deployment, std::size_t workspace, std::vector<ProgramSpec>& programs)
+{
+    const auto& spec = deployment.workspaces[workspace];
+    const auto usual = spec.programRate * spec.greedy;
+    const auto phase = uniform(random) * burstEvery;
+    const auto calm = (burstEvery - burstFactor * burstLength) / (burstEvery - burstLength);
+    double now = 0;
+    while (true) {
+        // Thinning gives a Poisson process with bursts whose mean is the usual rate.
+        now += std::exponential_distribution<double>(usual * burstFactor)(random);
+        if (now >= deployment.duration)
+            return;
+        const bool inBurst = std::fmod(now + phase, burstEvery) < burstLength;
+        if (uniform(random) * burstFactor >= (inBurst ? burstFactor : calm))
+            continue;
+        const ProgramSpec program { workspace, static_cast<std::size_t>(random() % deployment.domains), now };
+        addProgram(random, deployment, program, deployment.turnsMedian, programs);
+    }
+}
+
+// Three large workspaces and five small ones; one small one sends four times its rate.
+void addWorkspaces(Deployment& deployment, double programRate)
+{
+    const std::vector<double> shares { 0.28, 0.22, 0.16, 0.09, 0.08, 0.07, 0.05, 0.05 };
+    const auto requests = meanRequests(deployment);
+    for (const auto share : shares) {
+        const auto rate = programRate * share;
+        const auto granted = grantFactor * rate * requests;
+        deployment.workspaces.push_back({ rate, 1, granted, burstSeconds * granted });
+    }
+    deployment.workspaces[3].greedy = 4;
+}
+
+} // namespace
+
+double meanRequests(const Deployment& deployment)
+{
+    Random random(1);
+    std::vector<ProgramSpec> programs;
+    constexpr int sample = 4000;
+    for (int index = 0; index < sample; ++index)
+        addProgram(random, deployment, {}, deployment.turnsMedian, programs);
+    std::size_t turns = 0;
+    for (const auto& program : programs)
+        turns += program.turns.size();
+    return static_cast<double>(turns) / sample;
+}
+
+Deployment kalahari(double load)
+{
+    Deployment deployment;
+    deployment.name = "kalahari";
+    deployment.groups = { { "survey", 12 }, { "returns", 10, 8, 200'000 } };
+    deployment.firstPrompt = 9000;
+    deployment.secondGroup = 0.3;
+    addWorkspaces(deployment, load * 1.45);
+    return deployment;
+}
+
+Deployment longgrass(double load)
+{
+    Deployment deployment;
+    deployment.name = "longgrass";
+    deployment.groups = { { "planning", 20 }, { "booking", 4, 8, 200'000 } };
+    deployment.firstPrompt = 12'000;
+    deployment.turnsMedian = 10;
+    deployment.outputMedian = 200;
+    deployment.subAgents = 0.3;
+    deployment.secondGroup = 0.15;
+    addWorkspaces(deployment, load * 1.45);
+    return deployment;
+}
+
+std::vector<ProgramSpec> generate(const Deployment& deployment, std::uint64_t seed)
+{
+    std::vector<ProgramSpec> programs;
+    for (std::size_t workspace = 0; workspace < deployment.workspaces.size(); ++workspace) {
+        Random random(seed * 1000 + workspace);
+        addWorkspace(random, deployment, workspace, programs);
+    }
+    return programs;
+}
+
+} // namespace measure
--- /dev/null
+++ b/tools/measure/workload.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace measure {
+
+/// One call of a program. Tokens are counts; times are seconds.
+struct Turn {
+    /// Tool pause before the call.
+    double pause = 0;
+    std::int64_t input = 0;
+    std::int64_t output = 0;
+    /// Index of the endpoint group in the deployment.
+    std::size_t group = 0;
+    /// Programs that begin after this call; the next call waits until all of them have ended.
+    std::vector<std::size_t> children {};
+};
+
+struct ProgramSpec {
+    std::size_t workspace = 0;
+    std::size_t domain = 0;
+    double arrival = 0;
+    bool isChild = false;
+    std::vector<Turn> turns {};
+};
+
+/// Engines of one model, and the shape of the calls that they get.
+struct GroupSpec {
+    std::string name;
+    std::size_t endpoints = 0;
+    std::int64_t slots = 32;
+    std::int64_t cacheTokens = 1'500'000;
+};
+
+struct WorkspaceSpec {
+    /// Program arrivals per second; `greedy` multiplies them but not the granted rate.
+    double programRate = 0;
+    double greedy = 1;
+    /// Granted requests per second and burst.
+    double requestRate = 0;
+    double requestBurst = 0;
+};
+
+struct Deployment {
+    std::string name;
+    std::size_t domains = 3;
+    std::size_t entryInstances = 9;
+    std::vector<GroupSpec> groups {};
+    std::vector<WorkspaceSpec> workspaces {};
+    /// Programs arrive until then; the failure domain 0 leaves and returns in between.
+    double duration = 900;
+    double leavesAt = 300;
+    double returnsAt = 480;
+    /// End of the window in which service during the move is measured.
+    double moveEnds = 600;
+    /// Tokens of the guide that all programs of a workspace begin with.
+    std::int64_t guide = 3000;
+    /// Median of the first prompt beyond the guide.
+    double firstPrompt = 6000;
+    double turnsMedian = 8;
+    double pauseMedian = 3;
+    double outputMedian = 150;
+    double inputMedian = 400;
+    /// Share of programs that start sub-agents, and of calls that go to the second group.
+    double subAgents = 0.2;
+    double secondGroup = 0.2;
+};
+
+/// Today's sizes of the two users; see section 1 of the design.
+Deployment kalahari(double load = 1);
+Deployment longgrass(double load = 1);
+
+/// Generates the programs of a run. The same seed gives the same programs for every policy.
+std::vector<ProgramSpec> generate(const Deployment& deployment, std::uint64_t seed);
+
+/// Expected requests of one program, from a large sample with a fixed seed.
+double meanRequests(const Deployment& deployment);
+
+} // namespace measure
