Weigh recomputed prefill more and queue long prefills later

Cause: at 1.8 times the usual load calls left the endpoint that held their prefix after a wait of a few seconds; the copies evicted other prefixes, and recomputation took up the engines for good. Change: placement weighs recomputation 20 times the locality weight, and the order adds up to 30 s for a long prefill.

--- a/src/decisions/scheduling/policy.cpp
+++ b/src/decisions/scheduling/policy.cpp
@@ -14,11 +14,15 @@
 constexpr double longestPenaltySeconds = 30;
 // Attained service at which a call takes half of the longest penalty.
 constexpr double halfPenaltySeconds = 20;
+constexpr double halfPenaltyPrefill = 4000;
 // Time that a call with a deadline is started ahead of it.
 constexpr Duration deadlineSlack = Seconds(5);
 // Largest lead of a workspace, in virtual tokens, with the least fairness.
 constexpr double largestQuantum = 200'000;
 constexpr double smallestQuantum = 2'000;
+// A recomputed prompt delays every call of the batch, and a program that moves leaves a copy that evicts others. With a
+// weight of 1.5 the measured fleet went into a lasting cascade of recomputation at 1.8 times the usual load.
+constexpr double recomputeWeight = 20;
 // A hop to another failure domain costs a few milliseconds; the rest keeps programs where their partition is.
 constexpr double foreignDomainSeconds = 0.05;
 constexpr double memoryTight = 0.9;
@@ -33,11 +37,13 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-TimePoint programOrder(double weight, const QueuedCall& call)
+TimePoint programOrder(double weight, double locality, const QueuedCall& call)
 {
     const auto attained = secondsOf(call.attained);
     const auto penalty = longestPenaltySeconds * attained / (attained + halfPenaltySeconds);
-    const auto order = call.arrival + durationOf(weight * penalty);
+    const auto prefill = static_cast<double>(call.expected.prefill.value);
+    const auto prefillPenalty = longestPenaltySeconds * prefill / (prefill + halfPenaltyPrefill);
+    const auto order = call.arrival + durationOf(weight * penalty + locality * prefillPenalty);
     if (!call.deadline)
         return order;
     // A queued call's deadline has not passed, so urgency advances it by no more than the slack.
@@ -50,7 +56,7 @@
     const auto missing = static_cast<double>(call.history.value - held) / 1000;
     const auto recompute = missing * secondsOf(view.prefillPerThousand);
     const auto hop = view.domain == call.domain ? 0 : foreignDomainSeconds;
-    return secondsOf(view.queueWait) + (0.5 + 2 * locality) * recompute + hop;
+    return secondsOf(view.queueWait) + (0.5 + recomputeWeight * locality) * recompute + hop;
 }
 
 EndpointId cheapest(double locality, const QueuedCall& call, std::span<const EndpointView> endpoints)
@@ -101,7 +107,7 @@
     const auto order = std::clamp(weights.programOrder, 0.0, 1.0);
     Policy policy;
     policy.name = "weights";
-    policy.orderHook = [order](const QueuedCall& call) { return programOrder(order, call); };
+    policy.orderHook = [order, locality](const QueuedCall& call) { return programOrder(order, locality, call); };
     policy.fairnessHook = [](const TokenUse& use) {
         return static_cast<double>(use.prefill.value) + outputCharge * static_cast<double>(use.output.value);
     };
--- a/tools/measure/main.cpp
+++ b/tools/measure/main.cpp
@@ -47,6 +47,7 @@
         }
     };
     std::vector<std::jthread> threads;
+    threads.reserve(options.jobs);
     for (std::size_t job = 0; job < options.jobs; ++job)
         threads.emplace_back(work);
     threads.clear();
