Weigh recomputation by how scarce idle endpoints are

Change: the weight rises from 1 to 30 times the locality with the least queue wait among the candidates.

--- a/src/decisions/scheduling/policy.cpp
+++ b/src/decisions/scheduling/policy.cpp
@@ -20,9 +20,12 @@
 // Largest lead of a workspace, in virtual tokens, with the least fairness.
 constexpr double largestQuantum = 200'000;
 constexpr double smallestQuantum = 2'000;
-// A recomputed prompt delays every call of the batch, and a program that moves leaves a copy that evicts others. With a
-// weight of 1.5 the measured fleet went into a lasting cascade of recomputation at 1.8 times the usual load.
-constexpr double recomputeWeight = 20;
+// A recomputed prompt delays every call of the batch, and a program that moves leaves a copy that evicts others. This
+// costs little while some endpoint is idle. Once all of them have queues, a weight below about 4 led to a lasting
+// cascade of recomputation in the measurements.
+constexpr double idleRecomputeWeight = 1;
+constexpr double scarceRecomputeWeight = 30;
+constexpr double scarceWaitSeconds = 1;
 // A hop to another failure domain costs a few milliseconds; the rest keeps programs where their partition is.
 constexpr double foreignDomainSeconds = 0.05;
 constexpr double memoryTight = 0.9;
@@ -50,19 +53,22 @@
     return std::min(order, *call.deadline - deadlineSlack);
 }
 
-double placementCost(double locality, const QueuedCall& call, const EndpointView& view)
+double placementCost(double recomputeWeight, const QueuedCall& call, const EndpointView& view)
 {
     const auto held = std::min(call.history.value, view.held.value);
     const auto missing = static_cast<double>(call.history.value - held) / 1000;
     const auto recompute = missing * secondsOf(view.prefillPerThousand);
     const auto hop = view.domain == call.domain ? 0 : foreignDomainSeconds;
-    return secondsOf(view.queueWait) + (0.5 + recomputeWeight * locality) * recompute + hop;
+    return secondsOf(view.queueWait) + recomputeWeight * recompute + hop;
 }
 
 EndpointId cheapest(double locality, const QueuedCall& call, std::span<const EndpointView> endpoints)
 {
+    const auto leastWait = secondsOf(std::ranges::min(endpoints, {}, &EndpointView::queueWait).queueWait);
+    const auto pressure = std::min(1.0, leastWait / scarceWaitSeconds);
+    const auto weight = 1 + locality * (idleRecomputeWeight + pressure * (scarceRecomputeWeight - idleRecomputeWeight));
     const auto cost
-        = [&](const EndpointView& view) { return std::pair(placementCost(locality, call, view), view.endpoint); };
+        = [&](const EndpointView& view) { return std::pair(placementCost(weight, call, view), view.endpoint); };
     return std::ranges::min_element(endpoints, {}, cost)->endpoint;
 }
 
