--- a/tools/measure/main.cpp
+++ b/tools/measure/main.cpp
@@ -17,21 +17,27 @@
     std::size_t jobs = 3;
     double load = 1;
     std::string folder {};
+    std::vector<double> weights {};
 };
 
-std::vector<peridotramp::Policy> makePolicies()
+std::vector<peridotramp::Policy> makePolicies(const Options& options)
 {
-    return { peridotramp::baselinePolicy(), peridotramp::kalahariPolicy(), peridotramp::longgrassPolicy() };
+    std::vector policies { peridotramp::baselinePolicy(), peridotramp::kalahariPolicy(),
+        peridotramp::longgrassPolicy() };
+    if (!options.weights.empty())
+        policies.push_back(
+            peridotramp::policyFromWeights({ options.weights[0], options.weights[1], options.weights[2] }));
+    return policies;
 }
 
 // Each task writes only its own cell, so the result does not depend on the order of the threads.
 std::vector<Series> measureAll(const Options& options)
 {
     const std::vector deployments { kalahari(options.load), longgrass(options.load) };
-    const auto policies = makePolicies().size();
+    const auto policies = makePolicies(options).size();
     std::vector<Series> series;
     for (const auto& deployment : deployments) {
-        for (const auto& policy : makePolicies())
+        for (const auto& policy : makePolicies(options))
             series.push_back({ deployment.name, policy.name, std::vector<Measures>(options.seeds) });
     }
     std::atomic<std::size_t> next { 0 };
@@ -41,7 +47,7 @@
             const auto seed = task / series.size() + 1;
             const auto& deployment = deployments[index / policies];
             // A policy may keep state, such as the turn of round robin, so each run has its own.
-            const auto policy = makePolicies()[index % policies];
+            const auto policy = makePolicies(options)[index % policies];
             const auto programs = generate(deployment, seed);
             series[index].bySeed[seed - 1] = measuresOf(deployment, Run(deployment, policy, programs, seed).run());
         }
@@ -66,6 +72,9 @@
     app.add_option("--jobs", options.jobs, "threads")->check(CLI::Range(1, 64));
     app.add_option("--load", options.load, "factor on the arrival rate of programs")->check(CLI::Range(0.01, 10.0));
     app.add_option("--out", options.folder, "folder for measures.csv and measures.svg");
+    app.add_option("--weights", options.weights, "also measure a policy with these weights: fairness locality order")
+        ->expected(3)
+        ->check(CLI::Range(0.0, 1.0));
     CLI11_PARSE(app, argc, argv);
     const auto series = measureAll(options);
     fmt::print("seeds 1 to {}, load factor {}\n{}{}", options.seeds, options.load, table(series), scores(series));
