--- a/include/peridotramp/core.h
+++ b/include/peridotramp/core.h
@@ -240,6 +240,9 @@
 /// Decodes padded base64; empty when `text` is not valid.
 std::optional<std::string> fromBase64(std::string_view text);
 
+/// Whether the current thread is inside `Sharded::with` or `Sharded::forEach` of any instance.
+inline thread_local bool holdsShardLock = false;
+
 /// State divided by key hash into shards, each under its own lock.
 ///
 /// A thread holds at most one shard lock at a time; debug builds assert this. Hooks must not be called from `with`.
@@ -266,18 +269,17 @@
 
     template <typename Function> decltype(auto) lockAndCall(Shard& shard, Function&& function)
     {
-        assert(!holdsLock && "a thread must not hold two shard locks");
+        assert(!holdsShardLock && "a thread must not hold two shard locks");
         const std::scoped_lock lock(shard.mutex);
         const HoldsLock mark;
         return function(shard.state);
     }
 
-    static inline thread_local bool holdsLock = false;
     struct HoldsLock {
-        HoldsLock() { holdsLock = true; }
+        HoldsLock() { holdsShardLock = true; }
         HoldsLock(const HoldsLock&) = delete;
         HoldsLock& operator=(const HoldsLock&) = delete;
-        ~HoldsLock() { holdsLock = false; }
+        ~HoldsLock() { holdsShardLock = false; }
     };
 
     std::array<Shard, shardCount> shards;
--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -153,6 +153,9 @@
 /// Programs whose prefixes the engines of a dispatch group must release.
 struct ProgramsEndedNotice {
     std::vector<ProgramId> programs;
+    DomainId domain;
+    TeamId team;
+    std::string name;
 };
 
 /// Asks the owner of a partition which of these programs live, to find orphaned prefixes.
--- a/include/peridotramp/scheduling.h
+++ b/include/peridotramp/scheduling.h
@@ -154,6 +154,7 @@
     /// Returns the virtual tokens that the workspace has been charged, divided by its weight.
     double counter(WorkspaceId workspace) const;
     const Stats& stats() const { return this->counters; }
+    const Policy& policy() const { return this->init.policy; }
 
 private:
     struct Place {
--- a/src/nodes/messages_p.h
+++ b/src/nodes/messages_p.h
@@ -137,7 +137,7 @@
 
 template <typename Archive> void serialize(Archive& archive, ProgramsEndedNotice& message)
 {
-    archive(message.programs);
+    archive(message.programs, message.domain, message.team, message.name);
 }
 
 template <typename Archive> void serialize(Archive& archive, ProgramsAliveQuery& message) { archive(message.programs); }
--- /dev/null
+++ b/src/scheduler/membership.cpp
@@ -0,0 +1,113 @@
+#include "node_p.h"
+
+#include <algorithm>
+
+namespace peridotramp {
+
+namespace {
+
+constexpr Milliseconds tickPeriod { 100 };
+constexpr Milliseconds tablePeriod { 1000 };
+constexpr Seconds hintPeriod { 10 };
+
+void receive(Node& node, const MembershipMessage& message)
+{
+    node.sendAll(node.membership.with(
+        0, [&](const std::unique_ptr<Membership>& table) { return table->receive(RuntimeClock::now(), message); }));
+}
+
+void mergeTable(Node& node, const TableReply& reply)
+{
+    node.membership.with(
+        0, [&](const std::unique_ptr<Membership>& table) { table->merge(RuntimeClock::now(), reply.members); });
+    for (const auto& owner : reply.owners) {
+        node.owners.with(owner.partition.value, [&](auto& owners) {
+            auto& known = owners[owner.partition];
+            if (!known.epoch.isValid() || known.epoch < owner.epoch)
+                known = owner;
+        });
+    }
+}
+
+// Asks one live member of each failure domain for its table.
+void queryTables(Node& node)
+{
+    for (std::uint64_t index = 0; index < node.init.domains.size(); ++index) {
+        auto members = node.liveNodes(DomainId { index });
+        std::erase(members, node.self);
+        if (members.empty())
+            continue;
+        const auto member = node.member(members[node.nextSerial() % members.size()]);
+        if (!member)
+            continue;
+        node.rpc.call(member->row.addresses.tcp, TableQuery {}, Seconds(2), [&node](Result<Message> answer, bool) {
+            const auto* table = answer ? std::get_if<TableReply>(&answer.value()) : nullptr;
+            if (table)
+                mergeTable(node, *table);
+        });
+    }
+}
+
+void readInstanceList(Node& node)
+{
+    listInstances(node.http, *node.init.instances, [&node](Result<std::vector<InstanceRow>> rows) {
+        if (!rows)
+            return;
+        std::vector<Address> addresses;
+        std::ranges::transform(*rows, std::back_inserter(addresses), &InstanceRow::address);
+        node.membership.with(
+            0, [&](const std::unique_ptr<Membership>& table) { table->setInstanceHints(std::move(addresses)); });
+    });
+}
+
+} // namespace
+
+void startMembership(Node& node)
+{
+    DatagramSocket::Init socket { node.init.gossip, [&node](const Address& address) { return node.isCut(address); } };
+    node.gossip = std::make_unique<DatagramSocket>(
+        node.runtime, socket, [&node](const MembershipMessage& message) { receive(node, message); });
+    Membership::Init init;
+    init.node = node.self;
+    init.incarnation = node.incarnation;
+    init.domain = node.domain;
+    init.addresses = { node.server->address(), node.gossip->address(), node.admin->address() };
+    init.seeds = node.init.seeds;
+    init.randomSeed = node.self.value ^ node.incarnation.value;
+    node.membership.with(0,
+        [&](std::unique_ptr<Membership>& table) { table = std::make_unique<Membership>(init, RuntimeClock::now()); });
+    node.timers.push_back(node.runtime.every(tickPeriod, [&node] {
+        node.sendAll(node.membership.with(
+            0, [](const std::unique_ptr<Membership>& table) { return table->tick(RuntimeClock::now()); }));
+    }));
+    node.timers.push_back(node.runtime.every(tablePeriod, [&node] { queryTables(node); }));
+    if (node.init.instances)
+        node.timers.push_back(node.runtime.every(hintPeriod, [&node] { readInstanceList(node); }));
+}
+
+void leaveMembership(Node& node)
+{
+    node.sendAll(node.membership.with(
+        0, [](const std::unique_ptr<Membership>& table) { return table->leave(RuntimeClock::now()); }));
+}
+
+TableReply tableOf(Node& node)
+{
+    TableReply reply;
+    const auto members
+        = node.membership.with(0, [](const std::unique_ptr<Membership>& table) { return table->members(); });
+    std::ranges::transform(members, std::back_inserter(reply.members), &Member::row);
+    std::map<PartitionId, PartitionOwner> owners;
+    node.owners.forEach([&](const auto& shard) { owners.insert(shard.begin(), shard.end()); });
+    node.partitions.forEach([&](const PartitionMap& map) {
+        for (const auto& [id, state] : map) {
+            if (const auto& current = state.log.current(); current && !current->handedOver)
+                owners[id] = { id, current->record.node, current->epoch };
+        }
+    });
+    for (const auto& [id, owner] : owners)
+        reply.owners.push_back(owner);
+    return reply;
+}
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/scheduler/node_p.h
@@ -0,0 +1,249 @@
+#pragma once
+
+#include "peridotramp/endpoints.h"
+#include "peridotramp/nodes.h"
+#include "peridotramp/platform.h"
+#include "peridotramp/scheduler.h"
+
+#include <set>
+
+namespace peridotramp {
+
+/// Work to do after a shard lock has been released.
+using Actions = std::vector<std::function<void()>>;
+/// Sends one message of an answer.
+using Responder = std::function<void(Message, bool last)>;
+using AnswerHook = std::function<void(Result<Message>, bool last)>;
+
+inline void run(const Actions& actions)
+{
+    for (const auto& action : actions)
+        action();
+}
+
+struct CallKey {
+    ProgramId program;
+    CallId call;
+
+    auto operator<=>(const CallKey&) const = default;
+};
+
+/// A request that waits for the answer of a call.
+struct Waiter {
+    std::uint64_t id = 0;
+    Responder respond;
+};
+
+/// A call between its admission and its end, at the owner of its program's partition.
+struct RunningCall {
+    CallMessage message;
+    AttemptNumber attempt;
+    TeamId team;
+    bool idempotent = true;
+    TimePoint deadline {};
+    std::string prompt {};
+    TokenCount promptTokens {};
+    std::vector<Waiter> waiters {};
+    std::vector<Permit> permits {};
+    std::int32_t endpointAttempts = 0;
+    bool claimPending = false;
+    bool streamed = false;
+    bool cancelled = false;
+    HttpClient::Call http {};
+};
+
+/// A call that waits at the owner of a dispatch group for an endpoint.
+struct WaitingSlot {
+    SlotRequest request;
+    Responder respond;
+};
+
+/// Engines or services of one team and failure domain that serve one name, with the queue in front of them.
+struct DispatchGroup {
+    std::string name;
+    TeamId team;
+    CallTarget target = CallTarget::Model;
+    FairQueue queue {};
+    std::map<CallId, WaitingSlot> waiting {};
+    std::vector<EndpointId> endpoints {};
+};
+
+struct DispatchGroupKey {
+    TeamId team;
+    std::string name;
+
+    auto operator<=>(const DispatchGroupKey&) const = default;
+};
+
+/// Everything that a node keeps of one partition.
+struct PartitionState {
+    PartitionId id;
+    PartitionLog log {};
+    std::optional<PartitionLease> lease {};
+    std::optional<AppendQueue> queue {};
+    ProgramTable programs {};
+    GrantTable grants {};
+    EndpointPool pool {};
+    KvLedger kv {};
+    std::map<DispatchGroupKey, DispatchGroup> groups {};
+    std::map<CallKey, RunningCall> calls {};
+    std::map<AppendTicket, std::function<void(AppendState)>> tickets {};
+    /// Dispatch groups on which each program has run, with their failure domain.
+    std::map<ProgramId, std::set<std::pair<DomainId, DispatchGroupKey>>> groupsUsed {};
+    std::map<EndpointId, std::uint64_t> kvEventsRead {};
+    bool reading = false;
+    bool appending = false;
+    bool handingOver = false;
+    bool handoverQueued = false;
+    bool hasRead = false;
+    TimePoint takeoverRetryAt {};
+    /// End of the last successful read.
+    std::optional<TimePoint> lastRead {};
+    /// Version of the configuration that the tables have.
+    Offset configured {};
+    /// Workspaces whose buckets belong to the partition.
+    std::set<WorkspaceId> workspaces {};
+};
+
+using PartitionMap = std::map<PartitionId, PartitionState>;
+
+struct ConfigurationShard {
+    ConfigurationState state;
+    ConfigurationPointer current;
+    bool reading = false;
+    std::optional<TimePoint> lastRead;
+};
+
+struct Node {
+    Node(Runtime& runtime, SchedulerInit init);
+
+    SchedulerInit init;
+    Runtime& runtime;
+    NodeId self;
+    Incarnation incarnation;
+    DomainId domain;
+    TimePoint startedAt;
+    Metrics metrics {};
+    Sharded<std::set<Address>, 1> cuts {};
+    RpcClient rpc;
+    HttpClient http;
+    LogClient log;
+    EndpointClient endpoints;
+    std::unique_ptr<RpcServer> server {};
+    std::unique_ptr<DatagramSocket> gossip {};
+    std::unique_ptr<HttpServer> admin {};
+    Sharded<PartitionMap> partitions {};
+    Sharded<std::unique_ptr<Membership>, 1> membership {};
+    Sharded<ConfigurationShard, 1> configuration {};
+    Sharded<std::map<PartitionId, PartitionOwner>> owners {};
+    Sharded<std::optional<LeaseVoter>, 1> voter {};
+    std::atomic<bool> draining = false;
+    std::atomic<std::uint64_t> serials;
+    std::vector<Timer> timers {};
+
+    template <typename Function> decltype(auto) withPartition(PartitionId partition, Function&& function)
+    {
+        return this->partitions.with(partition.value, [&](PartitionMap& map) -> decltype(auto) {
+            const auto found = map.find(partition);
+            return function(found == map.end() ? nullptr : &found->second);
+        });
+    }
+
+    bool isCut(const Address& address);
+    ConfigurationPointer configurationNow();
+    std::vector<PartitionId> partitionsOf(DomainId domain) const;
+    PartitionId bucketPartition(WorkspaceId workspace, DomainId domain) const;
+    PartitionId groupPartition(const DispatchGroupKey& key, DomainId domain) const;
+    std::optional<DomainId> domainByName(std::string_view name) const;
+    bool isDomainIn(const Configuration& configuration, DomainId domain) const;
+    std::optional<Member> member(NodeId node);
+    std::vector<NodeId> liveNodes(DomainId domain);
+    void sendAll(const std::vector<OutgoingMembership>& messages);
+    Authority authorityOf(PartitionState& state, TimePoint now) const;
+    std::uint64_t nextSerial() { return ++this->serials; }
+};
+
+/// Returns the address of the owner of a partition as far as this node knows it.
+std::optional<std::pair<NodeId, Address>> findOwner(Node& node, PartitionId partition);
+/// Returns an error that sends the requester to the owner of the partition.
+ErrorMessage notOwner(Node& node, PartitionId partition);
+/// Sends a message to the owner of a partition, which may be this node, and chases a changed owner until the deadline.
+void askOwner(Node& node, PartitionId partition, Message message, TimePoint deadline, AnswerHook hook);
+/// Handles a message that needs no cancellation.
+void handleMessage(Node& node, Message message, Responder respond);
+
+// membership.cpp
+void startMembership(Node& node);
+void leaveMembership(Node& node);
+TableReply tableOf(Node& node);
+
+// configuration.cpp
+void startConfiguration(Node& node);
+ConfigurationReply configurationFor(Node& node, Offset applied);
+void restateDocuments(Node& node);
+
+// partitions.cpp
+void startPartitions(Node& node);
+/// Reads the partition's stream up to its end.
+void readPartition(Node& node, PartitionId partition);
+/// Pushes records; `resolved` is told the fate of the last one. The caller holds the partition's shard lock.
+Status pushRecords(
+    PartitionState& state, std::vector<PartitionRecord> records, std::function<void(AppendState)> resolved = {});
+/// Sends the group that is due.
+void sendAppends(Node& node, PartitionId partition);
+LeaseAnswer answerLease(Node& node, const LeaseQuestion& question);
+/// Hands all partitions over; calls `done` when nothing is left.
+void handOverAll(Node& node, std::function<void()> done);
+
+// tables.cpp
+/// Brings the grants and dispatch groups of a partition up to the configuration. The caller holds the shard lock.
+void configurePartition(Node& node, PartitionState& state, const Configuration& configuration, TimePoint now);
+/// Opens and renews what the lease guards. The caller holds the shard lock.
+void renewTables(PartitionState& state, TimePoint now);
+
+// permits.cpp
+void handleRatePermit(Node& node, const RatePermitRequest& request, Responder respond);
+void handleRateCorrection(Node& node, const RateCorrection& correction);
+LoanReply handleLoan(Node& node, const LoanRequest& request);
+void startLoans(Node& node);
+
+// slots.cpp
+void handleSlotRequest(Node& node, const SlotRequest& request, Responder respond);
+void handleSlotRelease(Node& node, const SlotRelease& release);
+/// Dispatches waiting calls of a group to endpoints with room. The caller holds the shard lock.
+void pumpGroup(Node& node, PartitionState& state, DispatchGroup& group, TimePoint now, Actions& actions);
+void startSlots(Node& node);
+
+// kv.cpp
+void startKv(Node& node);
+void noteProgramsEnded(Node& node, PartitionId partition, const std::vector<ProgramId>& programs);
+void handleProgramsEnded(Node& node, const ProgramsEndedNotice& notice);
+ProgramsAliveReply handleProgramsAlive(Node& node, const ProgramsAliveQuery& query);
+
+// calls.cpp
+void handleBegin(Node& node, const BeginProgramMessage& message, const Responder& respond);
+void handleEnd(Node& node, const EndProgramMessage& message, const Responder& respond);
+void handleQuery(Node& node, const ProgramQueryMessage& message, const Responder& respond);
+/// Admits a call; `waiter` names the request for `cancelWaiter`.
+void handleCall(Node& node, CallMessage message, std::uint64_t waiter, Responder respond);
+void cancelWaiter(Node& node, CallKey key, std::uint64_t waiter);
+/// Cancels the calls whose key has been withdrawn.
+void recheckKeys(Node& node);
+/// Ends programs that exceeded their limits.
+void expirePrograms(Node& node, PartitionId partition);
+/// Answers calls of a partition that another node has taken.
+void abandonCalls(Node& node, PartitionState& state, Actions& actions);
+void endPrograms(
+    Node& node, PartitionId partition, const EndedPrograms& ended, Actions& actions, PartitionState& state);
+
+// run.cpp
+/// Takes the permits of an admitted call and dispatches it.
+void dispatchCall(Node& node, CallKey key);
+/// Ends a call that did not run.
+void refuseCall(Node& node, CallKey key, const Error& error);
+
+// admin.cpp
+void startAdmin(Node& node);
+std::string dumpOf(Node& node);
+
+} // namespace peridotramp
