--- a/tests/configuration/convergence.cpp
+++ b/tests/configuration/convergence.cpp
@@ -167,29 +167,48 @@
     std::array<Version, 4> greatest;
 };
 
-} // namespace
-
-TEST_CASE("nodes that get the same records in any order and way converge, and no version goes back")
+void requireConvergence(std::uint64_t seed)
 {
     const auto action = rc::gen::build<Action>(
         rc::gen::set(&Action::step,
             rc::gen::map(rc::gen::inRange(0, static_cast<int>(Step::Count)), [](int step) { return Step(step); })),
         rc::gen::set(&Action::node, rc::gen::inRange(0U, 4U)), rc::gen::set(&Action::peer, rc::gen::inRange(0U, 12U)),
         rc::gen::set(&Action::choice, rc::gen::inRange(0U, 64U)));
-    for (const std::uint64_t seed : { 11, 23, 47, 101 }) {
-        rc::detail::TestParams params;
-        params.seed = seed;
-        params.maxSuccess = 500;
-        const auto property = [&] {
-            const auto actions = *rc::gen::container<std::vector<Action>>(*rc::gen::inRange(1, 150), action);
-            Simulation simulation;
-            std::ranges::for_each(actions, [&](const auto& next) { simulation.run(next); });
-            simulation.finish();
-        };
-        const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata {}, params);
-        std::cout << "seed " << seed << ": ";
-        rc::detail::printResultMessage(result, std::cout);
-        std::cout << std::endl;
-        REQUIRE(result.is<rc::detail::SuccessResult>());
-    }
+    rc::detail::TestParams params;
+    params.seed = seed;
+    params.maxSuccess = 500;
+    const auto property = [&] {
+        const auto actions = *rc::gen::container<std::vector<Action>>(*rc::gen::inRange(1, 150), action);
+        Simulation simulation;
+        std::ranges::for_each(actions, [&](const auto& next) { simulation.run(next); });
+        simulation.finish();
+    };
+    const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata {}, params);
+    std::cout << "seed " << seed << ": ";
+    rc::detail::printResultMessage(result, std::cout);
+    std::cout << std::endl;
+    REQUIRE(result.is<rc::detail::SuccessResult>());
+}
+
+} // namespace
+
+// One test for each seed, so that each ends in time under sanitizers.
+TEST_CASE("nodes that get the same records in any order and way converge, and no version goes back: seed 11")
+{
+    requireConvergence(11);
+}
+
+TEST_CASE("nodes that get the same records in any order and way converge, and no version goes back: seed 23")
+{
+    requireConvergence(23);
+}
+
+TEST_CASE("nodes that get the same records in any order and way converge, and no version goes back: seed 47")
+{
+    requireConvergence(47);
+}
+
+TEST_CASE("nodes that get the same records in any order and way converge, and no version goes back: seed 101")
+{
+    requireConvergence(101);
 }
