Add the operators library: admin address, change flow, exit codes

Operators need to know whether a change won and where it is in force. The library serves and asks the admin addresses, appends a change under one append id that is reused after lost answers, reads the log until it shows the result, and polls the nodes until each reports the version. The log is reached through hooks, because operators must not depend on platform.

--- /dev/null
+++ b/tests/operators/apply.cpp
@@ -0,0 +1,182 @@
+#include "peridotramp/operators.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace peridotramp;
+
+namespace {
+
+std::string document(int rate)
+{
+    return fmt::format("[team]\nname = a\ndomains = north\n[workspace w]\nrequest_rate = {}\ntoken_rate = 1\n", rate);
+}
+
+/// A log in memory whose answers can be lost.
+struct FakeLog {
+    std::vector<ConfigurationRecord> records;
+    std::vector<AppendId> appendIds;
+    int lostAnswers = 0;
+    int refusedAppends = 0;
+    bool isDown = false;
+    /// Called before each append, for example by an operator who is faster.
+    std::function<void()> beforeAppend = [] { };
+
+    void add(ConfigurationChange change)
+    {
+        this->records.push_back({ Offset { this->records.size() }, std::move(change) });
+    }
+
+    Result<Offset> append(AppendId id, const ConfigurationChange& change)
+    {
+        this->appendIds.push_back(id);
+        if (this->refusedAppends-- > 0)
+            return Error { ErrorKind::LogUnavailable, Outcome::NotRun };
+        std::exchange(this->beforeAppend, [] { })();
+        this->add(change);
+        if (this->lostAnswers-- > 0)
+            return Error { ErrorKind::LogUnavailable, Outcome::Unknown };
+        return this->records.back().offset;
+    }
+
+    Result<ConfigurationRead> read(Offset from) const
+    {
+        if (this->isDown)
+            return Error { ErrorKind::LogUnavailable, Outcome::NotRun };
+        // Short reads, so that the end is reached in several steps.
+        const auto next = std::min(this->records.size(), from.value + 2);
+        ConfigurationRead read { from, Offset { 0 }, Offset { next } };
+        for (auto offset = from.value; offset < next; ++offset)
+            read.records.push_back(this->records.at(offset));
+        if (next == this->records.size())
+            read.age = Duration::zero();
+        return read;
+    }
+
+    OperatorLog hooks()
+    {
+        return { [this](AppendId id, const ConfigurationChange& change) { return this->append(id, change); },
+            [this](Offset from) { return this->read(from); } };
+    }
+};
+
+struct Fixture {
+    Fixture()
+    {
+        RuntimeClock::pause();
+        this->log.add({ ChangeId { 1 }, "a", {}, document(1) });
+        this->options.wait = [](Duration time) { RuntimeClock::advance(time); };
+    }
+    ~Fixture() { RuntimeClock::resume(); }
+    Fixture(const Fixture&) = delete;
+    Fixture& operator=(const Fixture&) = delete;
+
+    Result<ApplyReport> apply(int rate, std::uint64_t base = 0)
+    {
+        return applyEdit(this->log.hooks(), this->fleet, { "a", Version { base }, document(rate) }, this->options);
+    }
+
+    FakeLog log;
+    OperatorFleet fleet;
+    ApplyOptions options;
+};
+
+} // namespace
+
+TEST_CASE("a lost answer is followed by the same append id, and the change counts once")
+{
+    Fixture fixture;
+    fixture.log.lostAnswers = 2;
+    const auto report = fixture.apply(2);
+    REQUIRE(report);
+    REQUIRE(report->version == Version { 1 });
+    REQUIRE(fixture.log.appendIds.size() == 3);
+    REQUIRE(std::ranges::count(fixture.log.appendIds, fixture.log.appendIds.front()) == 3);
+}
+
+TEST_CASE("an answer lost for good is settled by reading the log")
+{
+    Fixture fixture;
+    fixture.log.lostAnswers = 100;
+    REQUIRE(fixture.apply(2)->version == Version { 1 });
+}
+
+TEST_CASE("the slower of two operators learns that it lost, whether before or after its append")
+{
+    Fixture fixture;
+    fixture.log.beforeAppend = [&] { fixture.log.add({ ChangeId { 2 }, "a", Version { 0 }, document(9) }); };
+    const auto lost = fixture.apply(2);
+    REQUIRE(lost.error().kind == ErrorKind::VersionConflict);
+    REQUIRE(exitCodeOf(lost.error().kind) == ExitCode::VersionConflict);
+    const auto appends = fixture.log.appendIds.size();
+    REQUIRE(fixture.apply(2).error().kind == ErrorKind::VersionConflict);
+    REQUIRE(fixture.log.appendIds.size() == appends);
+}
+
+TEST_CASE("invalid texts are refused before anything is appended")
+{
+    Fixture fixture;
+    REQUIRE(fixture.apply(-1).error().kind == ErrorKind::InvalidDocument);
+    REQUIRE(fixture.log.appendIds.empty());
+}
+
+TEST_CASE("an append that was refused each time is reported as not appended, a vanished one as unknown")
+{
+    Fixture fixture;
+    fixture.log.refusedAppends = 100;
+    REQUIRE(exitCodeOf(fixture.apply(2).error().kind) == ExitCode::Unavailable);
+    fixture.log.refusedAppends = 0;
+    fixture.log.lostAnswers = 100;
+    fixture.log.beforeAppend = [&] { fixture.log.isDown = true; };
+    const auto unknown = fixture.apply(2);
+    REQUIRE(unknown.error().kind == ErrorKind::OutcomeUnknown);
+    REQUIRE(unknown.error().outcome == Outcome::Unknown);
+}
+
+TEST_CASE("the report counts the nodes that have the version, and waiting for the others ends")
+{
+    Fixture fixture;
+    int questions = 0;
+    fixture.fleet.nodes = { { "127.0.0.1", 1 }, { "127.0.0.1", 2 }, { "127.0.0.1", 3 } };
+    fixture.fleet.status = [&](const Address& node) -> Result<ProcessStatus> {
+        if (node.port == 3)
+            return Error { ErrorKind::ConnectionFailed, Outcome::NotRun };
+        // The second node learns of the change late.
+        const bool isLate = node.port == 2 && ++questions < 4;
+        return ProcessStatus { "scheduler", "north", true, false, Version { isLate ? 0U : 1U } };
+    };
+    const auto report = fixture.apply(2);
+    REQUIRE(report->nodesInForce() == 2);
+    REQUIRE_FALSE(report->isInForceEverywhere());
+    REQUIRE(questions == 4);
+}
+
+TEST_CASE("the admin address answers with status, metrics and dump, and drains and returns the instance")
+{
+    Runtime runtime(Runtime::Init { 2 });
+    runtime.start();
+    std::atomic<bool> isDraining = false;
+    AdminHooks hooks;
+    hooks.status = [&] {
+        return ProcessStatus { "scheduler", "north", false, isDraining, Version { 7 }, Duration(Seconds(2)), "late" };
+    };
+    hooks.metrics = [] { return std::string("metric 1\n"); };
+    hooks.dump = [] { return std::vector<DescriptionRow> { { "a", "b", "c" } }; };
+    hooks.setDraining = [&](bool drain) -> Status {
+        isDraining = drain;
+        return std::monostate {};
+    };
+    const AdminServer server(runtime, { "127.0.0.1", 0 }, hooks);
+    AdminClient client(runtime, Seconds(5));
+    const auto status = client.status(server.address());
+    REQUIRE(status);
+    REQUIRE(*status == hooks.status());
+    REQUIRE(client.dump(server.address(), false).value() == "a  b  c\n");
+    REQUIRE(client.dump(server.address(), true).value() == R"({"a":{"b":"c"}})");
+    REQUIRE(client.setDraining(server.address(), true)->isDraining);
+    REQUIRE_FALSE(client.setDraining(server.address(), false)->isDraining);
+    // A port on which nothing listens proves that nothing ran.
+    REQUIRE(client.status({ "127.0.0.1", 1 }).error().outcome == Outcome::NotRun);
+    REQUIRE_FALSE(parseStatus("{}"));
+    runtime.stop();
+}
