--- a/include/peridotramp/configuration.h
+++ b/include/peridotramp/configuration.h
@@ -350,7 +350,7 @@
     std::vector<ChangeResult> apply(TimePoint now, ConfigurationRead read);
     /// Applies what a peer sent.
     std::vector<ChangeResult> import(TimePoint now, ConfigurationTransfer transfer);
-    /// Returns what a peer lacks that has applied the stream up to `next`.
+    /// Returns what a peer lacks that has applied the stream up to `next`; a snapshot if `next` is invalid.
     ConfigurationTransfer exportSince(TimePoint now, Offset next) const;
 
     /// Returns the configuration, or `NotReady` before the end of the log or a peer's snapshot was reached, and while
@@ -362,8 +362,8 @@
     Version versionOf(std::string_view team) const;
     /// Position at which the next read of the log begins.
     Offset next() const;
-    /// Position up to which records have been applied. A node that is behind a peer, or is not ready, sends it to the
-    /// peer for `exportSince`.
+    /// Position up to which records have been applied; invalid while the state is incomplete after a gap. A node that
+    /// is behind a peer, or is not ready, sends it to the peer for `exportSince`.
     Offset applied() const;
     /// Time since the configuration was known to be the newest; empty when it never was.
     std::optional<Duration> age(TimePoint now) const;
--- a/src/decisions/configuration/state.cpp
+++ b/src/decisions/configuration/state.cpp
@@ -61,7 +61,9 @@
     Offset applied { 0 };
     /// End of the records that left the log's retention before this node read them.
     std::optional<Offset> gapEnd;
+    /// Whether the state follows a gap and the end of the log has not been reached since.
     bool isBridging = false;
+    Offset bridgeFrom;
     bool hasReachedTail = false;
     std::optional<TimePoint> confirmedAt;
     std::map<Offset, WaitingRead> waiting;
@@ -75,8 +77,8 @@
 
 void ConfigurationState::Impl::enqueue(TimePoint now, ConfigurationRead read)
 {
-    if (read.first > this->applied && read.first > read.from) {
-        read.from = read.first;
+    if (read.first > this->applied) {
+        read.from = std::max(read.from, read.first);
         this->gapEnd = std::max(this->gapEnd.value_or(read.first), read.first);
     }
     std::ranges::stable_sort(read.records, {}, &ConfigurationRecord::offset);
@@ -136,7 +138,11 @@
 void ConfigurationState::Impl::bridgeGap(std::vector<ChangeResult>& results)
 {
     const auto end = this->endOfChain(*this->gapEnd);
-    const auto reachesTail = [&](const auto& entry) { return entry.second.read.next == end && entry.second.read.age; };
+    // What the log has restated is complete only at an end that was read when the gap was known already.
+    const auto reachesTail = [&](const auto& entry) {
+        const auto& read = entry.second.read;
+        return read.next == end && read.age && read.first >= *this->gapEnd;
+    };
     const bool isAtTail = std::ranges::any_of(this->waiting, reachesTail);
     if (end == *this->gapEnd && !isAtTail)
         return;
@@ -155,6 +161,7 @@
     std::ranges::copy(byOffset | std::views::values, std::back_inserter(records));
     this->ledger.bridge(*this->gapEnd, records);
     this->isBridging = true;
+    this->bridgeFrom = *this->gapEnd;
     this->applied = *this->gapEnd;
     this->gapEnd.reset();
     this->forgetHistory();
@@ -176,6 +183,8 @@
 {
     if (!waiting.read.age || waiting.read.next != this->applied)
         return;
+    if (this->isBridging && waiting.read.first < this->bridgeFrom)
+        return;
     if (this->isBridging)
         this->ledger.endBridge();
     this->isBridging = false;
@@ -294,11 +303,11 @@
     const auto& state = *this->impl;
     ConfigurationRead read { next, Offset { 0 }, next, {}, {} };
     // A node that has not reached the end of the log could hand on a state that others have left behind.
-    if (!state.hasReachedTail || state.isBridging || next > state.applied)
+    if (!state.hasReachedTail || state.isBridging || (next.isValid() && next > state.applied))
         return read;
     read.age = this->age(now);
     read.next = state.applied;
-    if (next >= state.historyFrom) {
+    if (next.isValid() && next >= state.historyFrom) {
         const auto isNew = [&](const auto& record) { return record.offset >= next; };
         std::ranges::copy_if(state.history, std::back_inserter(read.records), isNew);
         return read;
@@ -331,7 +340,7 @@
     return this->impl->hasGap() ? this->impl->endOfChain(*this->impl->gapEnd) : this->impl->applied;
 }
 
-Offset ConfigurationState::applied() const { return this->impl->applied; }
+Offset ConfigurationState::applied() const { return this->impl->isBridging ? Offset {} : this->impl->applied; }
 
 std::optional<Duration> ConfigurationState::age(TimePoint now) const
 {
--- a/tests/configuration/state.cpp
+++ b/tests/configuration/state.cpp
@@ -158,6 +158,19 @@
     }
 }
 
+TEST_CASE("an end of the log that was read before a gap was known does not complete the records after the gap")
+{
+    ConfigurationState state;
+    const auto stale = change(11, 1, "a", none, small("a", "w"));
+    state.apply(start, readOf(11, { stale }));
+    state.apply(
+        start, readOf(10, { { Offset { 10 }, RestatedDocument { "b", Version { 2 }, small("b", "v") } } }, false, 10));
+    REQUIRE(state.snapshot().error().kind == ErrorKind::NotReady);
+    state.apply(start,
+        readOf(12, { { Offset { 12 }, RestatedDocument { "a", Version { 9 }, small("a", "w", 2) } } }, true, 10));
+    REQUIRE(state.versionOf("a") == Version { 9 });
+}
+
 TEST_CASE("a node that was away for longer than the log's retention keeps serving until it has caught up")
 {
     ConfigurationState state;
