--- a/src/decisions/scheduling/policy.cpp
+++ b/src/decisions/scheduling/policy.cpp
@@ -14,11 +14,18 @@
 constexpr double longestPenaltySeconds = 30;
 // Attained service at which a call takes half of the longest penalty.
 constexpr double halfPenaltySeconds = 20;
+constexpr double halfPenaltyPrefill = 4000;
 // Time that a call with a deadline is started ahead of it.
 constexpr Duration deadlineSlack = Seconds(5);
 // Largest lead of a workspace, in virtual tokens, with the least fairness.
 constexpr double largestQuantum = 200'000;
 constexpr double smallestQuantum = 2'000;
+// A recomputed prompt delays every call of the batch, and a program that moves leaves a copy that evicts others. This
+// costs little while some endpoint is idle. Once all of them have queues, a weight below about 4 led to a lasting
+// cascade of recomputation in the measurements.
+constexpr double idleRecomputeWeight = 1;
+constexpr double scarceRecomputeWeight = 30;
+constexpr double scarceWaitSeconds = 1;
 // A hop to another failure domain costs a few milliseconds; the rest keeps programs where their partition is.
 constexpr double foreignDomainSeconds = 0.05;
 constexpr double memoryTight = 0.9;
@@ -33,30 +40,35 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-TimePoint programOrder(double weight, const QueuedCall& call)
+TimePoint programOrder(double weight, double locality, const QueuedCall& call)
 {
     const auto attained = secondsOf(call.attained);
     const auto penalty = longestPenaltySeconds * attained / (attained + halfPenaltySeconds);
-    const auto order = call.arrival + durationOf(weight * penalty);
+    const auto prefill = static_cast<double>(call.expected.prefill.value);
+    const auto prefillPenalty = longestPenaltySeconds * prefill / (prefill + halfPenaltyPrefill);
+    const auto order = call.arrival + durationOf(weight * penalty + locality * prefillPenalty);
     if (!call.deadline)
         return order;
     // A queued call's deadline has not passed, so urgency advances it by no more than the slack.
     return std::min(order, *call.deadline - deadlineSlack);
 }
 
-double placementCost(double locality, const QueuedCall& call, const EndpointView& view)
+double placementCost(double recomputeWeight, const QueuedCall& call, const EndpointView& view)
 {
     const auto held = std::min(call.history.value, view.held.value);
     const auto missing = static_cast<double>(call.history.value - held) / 1000;
     const auto recompute = missing * secondsOf(view.prefillPerThousand);
     const auto hop = view.domain == call.domain ? 0 : foreignDomainSeconds;
-    return secondsOf(view.queueWait) + (0.5 + 2 * locality) * recompute + hop;
+    return secondsOf(view.queueWait) + recomputeWeight * recompute + hop;
 }
 
 EndpointId cheapest(double locality, const QueuedCall& call, std::span<const EndpointView> endpoints)
 {
+    const auto leastWait = secondsOf(std::ranges::min(endpoints, {}, &EndpointView::queueWait).queueWait);
+    const auto pressure = std::min(1.0, leastWait / scarceWaitSeconds);
+    const auto weight = 1 + locality * (idleRecomputeWeight + pressure * (scarceRecomputeWeight - idleRecomputeWeight));
     const auto cost
-        = [&](const EndpointView& view) { return std::pair(placementCost(locality, call, view), view.endpoint); };
+        = [&](const EndpointView& view) { return std::pair(placementCost(weight, call, view), view.endpoint); };
     return std::ranges::min_element(endpoints, {}, cost)->endpoint;
 }
 
@@ -101,7 +113,7 @@
     const auto order = std::clamp(weights.programOrder, 0.0, 1.0);
     Policy policy;
     policy.name = "weights";
-    policy.orderHook = [order](const QueuedCall& call) { return programOrder(order, call); };
+    policy.orderHook = [order, locality](const QueuedCall& call) { return programOrder(order, locality, call); };
     policy.fairnessHook = [](const TokenUse& use) {
         return static_cast<double>(use.prefill.value) + outputCharge * static_cast<double>(use.output.value);
     };
