--- /dev/null
+++ b/tests/platform/recordcodec.cpp
@@ -0,0 +1,87 @@
+#include "../../src/platform/recordcodec_p.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/detail/TestListenerAdapter.h>
+
+using namespace peridotramp;
+
+namespace {
+
+constexpr std::uint64_t seed = 20260412;
+constexpr int cases = 500;
+
+template <typename Property> bool holds(Property property)
+{
+    rc::detail::TestParams parameters;
+    parameters.seed = seed;
+    parameters.maxSuccess = cases;
+    rc::detail::TestListenerAdapter listener;
+    const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata {}, parameters, listener);
+    INFO("seed " << seed);
+    CHECK(result.template is<rc::detail::SuccessResult>());
+    return result.template is<rc::detail::SuccessResult>();
+}
+
+RecordGroup sample(const std::string& text, std::uint64_t number, std::size_t kinds)
+{
+    const ProgramId program { number };
+    const ProgramBegun begun { program, WorkspaceId { 2 }, ProgramId {}, { { 5 }, { 6 }, Seconds(7), { 1 } },
+        { { 3 }, { 4 } }, UnixTime(9) };
+    const ProgramEnded ended { program, EndReason::Idle, { { 1 }, { 2 } } };
+    const std::vector<PartitionRecord> all { OwnershipRecord { NodeId { number }, Incarnation { 4 }, { NodeId { 1 } } },
+        HandoverRecord { NodeId { 1 }, text }, begun,
+        TurnCommitted { program, { 1 }, CallId { 8 }, sha256(text), text, text + text },
+        CallClaimed { program, CallId { 8 }, { 2 } }, CallFinished { program, CallId { 8 }, { 2 }, Outcome::NotRun },
+        BudgetReserved { program, { { 7 }, { 8 } } }, ended,
+        ProgramCheckpoint { begun, { { CallId { 8 }, text, text } }, sha256(text), { { CallId { 9 }, { 1 }, true } },
+            ended, UnixTime(5) } };
+    return { AppendId { number }, Epoch { 17 }, { all.begin(), all.begin() + static_cast<std::ptrdiff_t>(kinds) } };
+}
+
+} // namespace
+
+TEST_CASE("a group of every kind of record returns unchanged")
+{
+    REQUIRE(holds([](const std::string& text, std::uint64_t number) {
+        const auto group = sample(text, number, std::variant_size_v<PartitionRecord>);
+        const auto decoded = decodeRecordGroup(encodeRecordGroup(group));
+        RC_ASSERT(decoded.hasValue());
+        RC_ASSERT(*decoded == group);
+    }));
+}
+
+TEST_CASE("a damaged or shortened group is refused as malformed or decodes to a group, within bounded memory")
+{
+    REQUIRE(holds([](const std::string& text, std::size_t place, std::uint8_t byte, bool shorten) {
+        auto bytes = encodeRecordGroup(sample(text, 1, std::variant_size_v<PartitionRecord>));
+        place %= bytes.size();
+        if (shorten)
+            bytes.resize(place);
+        else
+            bytes[place] = static_cast<char>(byte);
+        const auto decoded = decodeRecordGroup(bytes);
+        RC_ASSERT(decoded.hasValue() || decoded.error().kind == ErrorKind::MalformedFrame);
+        RC_ASSERT(!(shorten && decoded.hasValue()));
+    }));
+}
+
+TEST_CASE("arbitrary bytes are refused as malformed")
+{
+    REQUIRE(holds([](const std::string& bytes) {
+        const auto decoded = decodeRecordGroup(bytes);
+        RC_ASSERT(decoded.hasValue() || decoded.error().kind == ErrorKind::MalformedFrame);
+    }));
+}
+
+TEST_CASE("a length field beyond the frame takes no memory")
+{
+    auto bytes = encodeRecordGroup({ AppendId { 1 }, Epoch { 2 }, {} });
+    // The count of records is the last field.
+    for (std::size_t index = bytes.size() - 8; index < bytes.size(); ++index)
+        bytes[index] = '\x7f';
+    const auto decoded = decodeRecordGroup(bytes);
+    REQUIRE_FALSE(decoded.hasValue());
+    REQUIRE(decoded.error().kind == ErrorKind::MalformedFrame);
+    REQUIRE(decodeRecordGroup(std::string(maxRecordBytes + 1, 'x')).error().kind == ErrorKind::MalformedFrame);
+}
