--- /dev/null
+++ b/src/decisions/configuration/ledger.cpp
@@ -0,0 +1,276 @@
+#include "ledger_p.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace peridotramp {
+
+namespace {
+
+std::string versionText(Version version) { return version.isValid() ? std::to_string(version.value) : "none"; }
+
+Error versionConflict(const ConfigurationChange& change, Version current)
+{
+    return { ErrorKind::VersionConflict, Outcome::NotRun,
+        fmt::format("team {} is at version {}, the change replaces version {}", change.team, versionText(current),
+            versionText(change.baseVersion)) };
+}
+
+Error wrongTeam(const ConfigurationChange& change, const Document& document)
+{
+    return { ErrorKind::InvalidDocument, Outcome::NotRun,
+        fmt::format(
+            "the change is for team {}, but [team] name = '{}'; make them agree", change.team, document.team.name) };
+}
+
+Error undecidedClaims(const std::string& team)
+{
+    return { ErrorKind::InvalidDocument, Outcome::NotRun,
+        fmt::format("it adds names while the document of team {} is missing from the log; it comes into force if it is "
+                    "restated, otherwise apply it again",
+            team) };
+}
+
+std::optional<TimePoint> later(std::optional<TimePoint> a, std::optional<TimePoint> b) { return std::max(a, b); }
+
+const ConfigurationChange* changeAt(
+    Version version, const std::string& team, std::span<const ConfigurationRecord> records)
+{
+    const auto record = std::ranges::lower_bound(records, version, {}, &ConfigurationRecord::offset);
+    if (record == records.end() || record->offset != version)
+        return nullptr;
+    const auto* change = std::get_if<ConfigurationChange>(&record->payload);
+    // A base that is not older than its change cannot have been in force.
+    const bool isPossible = change != nullptr && change->team == team
+        && (!change->baseVersion.isValid() || change->baseVersion < version);
+    return isPossible ? change : nullptr;
+}
+
+/// Returns the version that a record shows to have been in force: the one that it restates or replaces. Operators name
+/// only versions that they have seen in force.
+Version provedBy(const ConfigurationRecord& record)
+{
+    if (const auto* restated = std::get_if<RestatedDocument>(&record.payload))
+        return restated->version;
+    const auto base = std::get<ConfigurationChange>(record.payload).baseVersion;
+    return base < record.offset ? base : Version {};
+}
+
+const std::string& teamOf(const ConfigurationRecord& record)
+{
+    return std::visit([](const auto& payload) -> const std::string& { return payload.team; }, record.payload);
+}
+
+} // namespace
+
+Configuration::Documents Ledger::documents() const
+{
+    Configuration::Documents documents;
+    for (const auto& [name, team] : this->teamByName) {
+        if (team.document)
+            documents.push_back(team.document);
+    }
+    return documents;
+}
+
+std::optional<ChangeResult> Ledger::apply(const ConfigurationRecord& record, std::optional<TimePoint> recordedAt)
+{
+    if (const auto* change = std::get_if<ConfigurationChange>(&record.payload))
+        return this->decide(record.offset, *change, recordedAt);
+    this->restate(std::get<RestatedDocument>(record.payload), recordedAt);
+    return std::nullopt;
+}
+
+std::optional<ChangeResult> Ledger::decide(
+    Offset offset, const ConfigurationChange& change, std::optional<TimePoint> recordedAt)
+{
+    auto& team = this->teamByName[change.team];
+    const bool isInForce = team.document && change.changeId.isValid() && team.document->changeId == change.changeId;
+    if (isInForce || team.refused.contains(change.changeId))
+        return std::nullopt;
+    ChangeResult result { change.changeId, change.team, offset, {} };
+    const auto current = this->expectedVersion(change.team);
+    if (const auto proof = this->proofs.find(change.team);
+        proof != this->proofs.end() && proof->second.newest.isValid() && offset <= proof->second.newest) {
+        result.error = this->decideProved(offset, change, proof->second, recordedAt);
+        return result;
+    }
+    if (change.baseVersion != current) {
+        // A base that is not known yet may match a later version, but this id has been decided now.
+        if (isNewer(change.baseVersion, current))
+            team.refused.emplace(change.changeId, change.baseVersion);
+        result.error = versionConflict(change, current);
+        return result;
+    }
+    auto parsed = parseDocument(change.text);
+    if (!parsed) {
+        result.error = parsed.error();
+        return result;
+    }
+    const auto status = parsed.document->team.name == change.team ? this->check(team, *parsed.document)
+                                                                  : Status(wrongTeam(change, *parsed.document));
+    if (!status) {
+        team.refused.emplace(change.changeId, change.baseVersion);
+        result.error = status.error();
+        return result;
+    }
+    this->unknownTexts.erase(change.team);
+    this->install(team, { std::move(*parsed.document), offset, change.changeId, change.text }, recordedAt);
+    return result;
+}
+
+Error Ledger::decideProved(
+    Offset offset, const ConfigurationChange& change, const Proof& proof, std::optional<TimePoint> recordedAt)
+{
+    auto& team = this->teamByName[change.team];
+    if (!proof.chain.contains(offset)) {
+        team.refused.emplace(change.changeId, change.baseVersion);
+        return versionConflict(change, this->expectedVersion(change.team));
+    }
+    auto parsed = parseDocument(change.text);
+    if (!parsed)
+        return parsed.error();
+    this->installFact(team, { std::move(*parsed.document), offset, change.changeId, change.text }, recordedAt);
+    return {};
+}
+
+void Ledger::restate(const RestatedDocument& restated, std::optional<TimePoint> recordedAt)
+{
+    auto& team = this->teamByName[restated.team];
+    const auto held = team.version();
+    if (restated.version == held) {
+        team.recordedAt = later(team.recordedAt, recordedAt);
+        return;
+    }
+    if (!isNewer(restated.version, held))
+        return;
+    auto parsed = parseDocument(restated.text);
+    if (parsed && parsed.document->team.name == restated.team)
+        this->installFact(team, { std::move(*parsed.document), restated.version, {}, restated.text }, recordedAt);
+}
+
+void Ledger::bridge(Offset gapEnd, std::span<const ConfigurationRecord> records)
+{
+    for (const auto& record : records) {
+        const auto* restated = std::get_if<RestatedDocument>(&record.payload);
+        if (restated != nullptr && restated->version < gapEnd)
+            this->restate(*restated, std::nullopt);
+        const auto version = provedBy(record);
+        const bool isKnown = version < gapEnd || changeAt(version, teamOf(record), records) != nullptr;
+        if (isKnown && isNewer(version, this->proofs[teamOf(record)].newest))
+            this->proofs[teamOf(record)].newest = version;
+    }
+    for (auto& [team, proof] : this->proofs) {
+        auto version = proof.newest;
+        while (version.isValid() && version >= gapEnd) {
+            proof.chain.insert(version);
+            const auto* change = changeAt(version, team, records);
+            version = change == nullptr ? Version {} : change->baseVersion;
+        }
+        if (isNewer(version, this->expectedVersion(team)))
+            this->unknownTexts[team] = version;
+    }
+    this->rebuildClaims();
+}
+
+void Ledger::endBridge()
+{
+    this->proofs.clear();
+    this->unknownTexts.clear();
+    this->rebuildClaims();
+}
+
+void Ledger::adopt(TimePoint now, const ConfigurationSnapshot& snapshot)
+{
+    this->proofs.clear();
+    this->unknownTexts.clear();
+    for (const auto& document : snapshot.documents)
+        this->adoptDocument(now, document);
+    this->rebuildClaims();
+}
+
+void Ledger::adoptDocument(TimePoint now, const SnapshotDocument& document)
+{
+    auto& team = this->teamByName[document.team];
+    team.refused = document.refused;
+    const auto recordedAt = document.recordAge ? std::optional(now - *document.recordAge) : std::nullopt;
+    const auto held = team.version();
+    if (document.version == held) {
+        team.recordedAt = later(team.recordedAt, recordedAt);
+        return;
+    }
+    if (!isNewer(document.version, held))
+        return;
+    auto parsed = parseDocument(document.text);
+    if (!parsed)
+        return;
+    this->install(
+        team, { std::move(*parsed.document), document.version, document.changeId, document.text }, recordedAt);
+}
+
+Version Ledger::expectedVersion(const std::string& team) const
+{
+    if (const auto unknown = this->unknownTexts.find(team); unknown != this->unknownTexts.end())
+        return unknown->second;
+    const auto known = this->teamByName.find(team);
+    return known == this->teamByName.end() ? Version {} : known->second.version();
+}
+
+Status Ledger::check(const Team& team, const Document& document) const
+{
+    if (team.document) {
+        if (auto status = checkGrown(team.document->document.team, document.team); !status)
+            return status;
+    }
+    for (const auto& [name, other] : this->teamByName) {
+        if (!other.document || name == document.team.name)
+            continue;
+        if (auto status = checkSameOrder(other.document->document.team, document.team); !status)
+            return status;
+    }
+    const bool isOtherUnknown = this->unknownTexts.size() > this->unknownTexts.count(document.team.name);
+    const bool isCovered = team.document && !this->unknownTexts.contains(document.team.name)
+        && Claims::covers(team.document->document, document);
+    // If the change were in force, it would be old enough to have been restated: the unknown text was superseded
+    // after it, and every record from before the gap is superseded or restated within half the retention.
+    if (isOtherUnknown && !isCovered)
+        return undecidedClaims(this->unknownTexts.begin()->first);
+    return this->claims.check(document);
+}
+
+void Ledger::install(Team& team, VersionedDocument document, std::optional<TimePoint> recordedAt)
+{
+    const auto version = document.version;
+    const auto before = std::move(team.document);
+    team.document = std::make_shared<const VersionedDocument>(std::move(document));
+    team.recordedAt = recordedAt;
+    // Versions only grow, so a change whose base is older than the document cannot match any more.
+    std::erase_if(
+        team.refused, [&](const auto& refused) { return !refused.second.isValid() || refused.second < version; });
+    this->claims.replace(before ? &before->document : nullptr, team.document->document);
+    if (isNewer(version, this->newestVersion))
+        this->newestVersion = version;
+}
+
+void Ledger::installFact(Team& team, VersionedDocument document, std::optional<TimePoint> recordedAt)
+{
+    this->unknownTexts.erase(document.document.team.name);
+    this->install(team, std::move(document), recordedAt);
+    this->rebuildClaims();
+}
+
+void Ledger::rebuildClaims()
+{
+    std::vector<const Team*> ordered;
+    for (const auto& [name, team] : this->teamByName) {
+        // What a team claims is unknown while its newest text is.
+        if (team.document && !this->unknownTexts.contains(name))
+            ordered.push_back(&team);
+    }
+    std::ranges::sort(ordered, {}, &Team::version);
+    this->claims = {};
+    for (const auto* team : ordered)
+        this->claims.replace(nullptr, team->document->document);
+}
+
+} // namespace peridotramp
