Correct the codec's property test

RC_ASSERT overloads the operators of its expression, so an error was read from a result that held a value. The conditions are computed before the assertion; they are the same.

--- a/tests/platform/recordcodec.cpp
+++ b/tests/platform/recordcodec.cpp
@@ -18,7 +18,9 @@
     parameters.maxSuccess = cases;
     rc::detail::TestListenerAdapter listener;
     const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata {}, parameters, listener);
-    INFO("seed " << seed);
+    std::ostringstream message;
+    rc::detail::printResultMessage(result, message);
+    INFO("seed " << seed << ": " << message.str());
     CHECK(result.template is<rc::detail::SuccessResult>());
     return result.template is<rc::detail::SuccessResult>();
 }
@@ -61,8 +63,11 @@
         else
             bytes[place] = static_cast<char>(byte);
         const auto decoded = decodeRecordGroup(bytes);
-        RC_ASSERT(decoded.hasValue() || decoded.error().kind == ErrorKind::MalformedFrame);
-        RC_ASSERT(!(shorten && decoded.hasValue()));
+        // RC_ASSERT evaluates both sides of an `||`, so the condition is computed before.
+        const bool typed = decoded.hasValue() || decoded.error().kind == ErrorKind::MalformedFrame;
+        RC_ASSERT(typed);
+        const bool shortButDecoded = shorten && decoded.hasValue();
+        RC_ASSERT(!shortButDecoded);
     }));
 }
 
@@ -70,7 +75,9 @@
 {
     REQUIRE(holds([](const std::string& bytes) {
         const auto decoded = decodeRecordGroup(bytes);
-        RC_ASSERT(decoded.hasValue() || decoded.error().kind == ErrorKind::MalformedFrame);
+        // RC_ASSERT evaluates both sides of an `||`, so the condition is computed before.
+        const bool typed = decoded.hasValue() || decoded.error().kind == ErrorKind::MalformedFrame;
+        RC_ASSERT(typed);
     }));
 }
 
