--- a/src/decisions/ownership/partitionlog.cpp
+++ b/src/decisions/ownership/partitionlog.cpp
@@ -52,7 +52,8 @@
     // An ownership record changes the epoch, so records beside it would belong to two epochs.
     if (!this->takesOwnership(group) && std::ranges::any_of(group.records, holdsOwnership))
         return GroupVerdict::VoidEpoch;
-    if (this->lastAppend.isValid() && group.appendId <= this->lastAppend)
+    // A successor's append id has no order with those of the old owner; a repeated ownership record names an old epoch.
+    if (!this->takesOwnership(group) && this->lastAppend.isValid() && group.appendId <= this->lastAppend)
         return GroupVerdict::Repeated;
     // The owner stopped before it handed over; nothing that it still sends counts.
     if (this->newest && this->newest->handedOver && !this->takesOwnership(group))
@@ -70,11 +71,12 @@
     applied.verdict = this->judge(group);
     if (applied.verdict != GroupVerdict::Valid)
         return applied;
-    this->lastAppend = group.appendId;
     if (this->takesOwnership(group))
         this->takeOwnership(offset, std::get<OwnershipRecord>(group.records.front()));
-    else
+    else {
+        this->lastAppend = group.appendId;
         this->noteActs(group);
+    }
     applied.records = std::move(group.records);
     return applied;
 }
--- /dev/null
+++ b/tests/ownership/ownership.cpp
@@ -0,0 +1,140 @@
+#include "peridotramp/ownership.h"
+
+#include <catch2/catch.hpp>
+
+using namespace peridotramp;
+
+namespace {
+
+const TimePoint start { Seconds(100) };
+const std::vector<NodeId> electorate { NodeId { 1 }, NodeId { 2 }, NodeId { 3 } };
+
+RecordGroup take(std::uint64_t node, Epoch replaced, std::uint64_t appendId = 1)
+{
+    return { AppendId { appendId }, replaced, { OwnershipRecord { NodeId { node }, Incarnation { 1 }, electorate } } };
+}
+
+RecordGroup write(Epoch epoch, std::uint64_t appendId)
+{
+    return { AppendId { appendId }, epoch, { BudgetReserved {} } };
+}
+
+PartitionLog logOf(const std::vector<RecordGroup>& stream)
+{
+    PartitionLog log;
+    for (std::uint64_t offset = 0; offset < stream.size(); ++offset)
+        log.apply(Offset { offset }, stream[offset]);
+    return log;
+}
+
+} // namespace
+
+TEST_CASE("a paused owner's groups after a takeover are void, and repeated groups count once")
+{
+    PartitionLog log;
+    REQUIRE(log.apply(Offset { 0 }, take(1, Epoch {})).verdict == GroupVerdict::Valid);
+    REQUIRE(log.apply(Offset { 1 }, write(Epoch { 0 }, 900)).verdict == GroupVerdict::Valid);
+    REQUIRE(log.apply(Offset { 2 }, write(Epoch { 0 }, 900)).verdict == GroupVerdict::Repeated);
+    // The successor's append id is lower than those of the old owner.
+    REQUIRE(log.apply(Offset { 3 }, take(2, Epoch { 0 })).verdict == GroupVerdict::Valid);
+    REQUIRE(log.apply(Offset { 4 }, take(3, Epoch { 0 })).verdict == GroupVerdict::VoidEpoch);
+    REQUIRE(log.apply(Offset { 5 }, write(Epoch { 0 }, 901)).verdict == GroupVerdict::VoidEpoch);
+    REQUIRE(log.apply(Offset { 3 }, take(2, Epoch { 0 })).verdict == GroupVerdict::Replayed);
+    REQUIRE(log.current()->record.node == NodeId { 2 });
+    REQUIRE(log.contenders().size() == 1);
+    REQUIRE(log.apply(Offset { 6 }, write(Epoch { 3 }, 1)).verdict == GroupVerdict::Valid);
+    REQUIRE(log.contenders().empty());
+}
+
+TEST_CASE("nothing that an owner sends after its handover counts, and its successor waits for nobody")
+{
+    auto log = logOf({ take(1, Epoch {}), { AppendId { 1 }, Epoch { 0 }, { HandoverRecord { NodeId { 1 }, "s" } } } });
+    REQUIRE(log.handover()->state == "s");
+    REQUIRE(log.apply(Offset { 2 }, write(Epoch { 0 }, 2)).verdict == GroupVerdict::VoidEpoch);
+    log.apply(Offset { 3 }, take(2, Epoch { 0 }));
+    PartitionLease lease(PartitionId { 1 }, NodeId { 2 }, Incarnation { 1 });
+    lease.logRead(start, start, true, log);
+    REQUIRE(lease.mayAct(start));
+}
+
+TEST_CASE("a restarted owner is its own successor and waits like any other")
+{
+    const auto log = logOf({ take(1, Epoch {}), write(Epoch { 0 }, 1) });
+    PartitionLease lease(PartitionId { 1 }, NodeId { 1 }, Incarnation { 2 });
+    lease.logRead(start, start, true, log);
+    REQUIRE_FALSE(lease.isOwner());
+    REQUIRE_FALSE(lease.mayAct(start));
+}
+
+TEST_CASE("an owner renews its ownership without a pause, and the queue goes on under the new epoch")
+{
+    auto log = logOf({ take(1, Epoch {}) });
+    PartitionLease lease(PartitionId { 1 }, NodeId { 1 }, Incarnation { 1 });
+    lease.logRead(start, start, true, log);
+    REQUIRE(lease.mayAct(start));
+    AppendQueue queue(log.epoch());
+    REQUIRE(queue.push(OwnershipRecord { NodeId { 1 }, Incarnation { 1 }, electorate }));
+    REQUIRE(queue.push(BudgetReserved {}));
+    const auto renewal = queue.poll(start);
+    REQUIRE(renewal->records.size() == 1);
+    REQUIRE(queue.applied(log.apply(Offset { 1 }, *renewal)).at(0).state == AppendState::Confirmed);
+    lease.logRead(start, start, true, log);
+    REQUIRE(lease.mayAct(start));
+    REQUIRE(lease.epoch() == Epoch { 1 });
+    const auto next = queue.poll(start + Seconds(1));
+    REQUIRE(queue.applied(log.apply(Offset { 2 }, *next)).at(0).state == AppendState::Confirmed);
+}
+
+TEST_CASE("voters that the instance list lost for 60 s count as released, and one of three is not enough")
+{
+    const auto log = logOf({ take(1, Epoch {}), write(Epoch { 0 }, 1), take(2, Epoch { 0 }) });
+    PartitionLease lease(PartitionId { 1 }, NodeId { 2 }, Incarnation { 1 });
+    lease.logRead(start, start, true, log);
+    lease.setAbsent(NodeId { 1 }, start - Seconds(60));
+    REQUIRE_FALSE(lease.mayActFrom(start));
+    lease.setAbsent(NodeId { 3 }, start - Seconds(50));
+    REQUIRE_FALSE(lease.mayActFrom(start));
+    REQUIRE(lease.mayActFrom(start + Seconds(10)));
+}
+
+TEST_CASE("an idle queue appends at once, a busy one groups, and at most one group is in flight")
+{
+    AppendLimits limits;
+    limits.appendsPerSecond = 4;
+    limits.burst = 1;
+    limits.retryAfter = Milliseconds(5000);
+    limits.maxRecords = 5;
+    AppendQueue queue(Epoch { 7 }, limits);
+    const auto first = queue.push(BudgetReserved {});
+    const auto group = queue.poll(start);
+    REQUIRE(group->records.size() == 1);
+    REQUIRE(queue.state(*first) == AppendState::Unknown);
+    for (int index = 0; index < 4; ++index)
+        REQUIRE(queue.push(BudgetReserved {}));
+    REQUIRE(queue.push(BudgetReserved {}).error().kind == ErrorKind::Overloaded);
+    const auto soon = start + Milliseconds(100);
+    REQUIRE_FALSE(queue.poll(soon));
+    queue.applied({ Offset { 9 }, group->appendId, group->epoch, GroupVerdict::Valid, group->records });
+    REQUIRE_FALSE(queue.poll(soon));
+    const auto next = queue.nextPoll(soon);
+    REQUIRE(next > soon);
+    REQUIRE(queue.poll(*next)->records.size() == 4);
+}
+
+TEST_CASE("an unanswered append is retried with the same id, and a lost epoch rejects everything")
+{
+    AppendQueue queue(Epoch { 7 });
+    const auto ticket = queue.push(BudgetReserved {});
+    const auto group = queue.poll(start);
+    queue.failed(start, group->appendId);
+    REQUIRE(queue.poll(start + Milliseconds(1)) == group);
+    REQUIRE_FALSE(queue.cancel(*ticket));
+    const auto waiting = queue.push(BudgetReserved {});
+    REQUIRE(queue.cancel(*waiting));
+    REQUIRE(queue.push(BudgetReserved {}));
+    const auto lost = queue.applied({ Offset { 9 }, AppendId { 1 }, Epoch { 7 }, GroupVerdict::Valid,
+        { OwnershipRecord { NodeId { 2 }, Incarnation { 1 }, {} } } });
+    REQUIRE(lost.size() == 2);
+    REQUIRE(lost[0].state == AppendState::Rejected);
+    REQUIRE(queue.push(BudgetReserved {}).error().kind == ErrorKind::EpochLost);
+}
