--- a/src/platform/recordcodec.cpp
+++ b/src/platform/recordcodec.cpp
@@ -79,7 +79,7 @@
 
 template <typename Archive> void serialize(Archive& archive, ProgramCheckpoint& record)
 {
-    archive(record.begun, record.turns, record.digest, record.claims, record.ended);
+    archive(record.begun, record.turns, record.digest, record.claims, record.ended, record.written);
 }
 
 template <typename Archive> void serialize(Archive& archive, RecordGroup& group)
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -114,17 +114,13 @@
         const auto found = state ? state->calls.find(key) : std::map<CallKey, RunningCall>::iterator {};
         if (!state || found == state->calls.end() || !found->second.claimPending || found->second.attempt != attempt)
             return;
-        auto records = state->programs.abandonClaim(key.program, key.call, attempt);
-        if (!records)
+        const auto now = RuntimeClock::now();
+        auto refused = state->programs.abandonClaim(now, key.program, key.call, attempt, node.authorityOf(*state, now));
+        if (!refused)
             return;
-        static_cast<void>(pushRecords(*state, std::move(*records)));
-        for (const auto& waiter : found->second.waiters) {
-            actions.push_back([respond = waiter.respond] {
-                respond(refusal(proved(
-                            ErrorKind::LogUnavailable, "the claim was not confirmed in time", Milliseconds(1000))),
-                    true);
-            });
-        }
+        static_cast<void>(pushRecords(*state, std::move(refused->records)));
+        for (const auto& waiter : found->second.waiters)
+            actions.push_back([respond = waiter.respond, error = refused->error] { respond(refusal(error), true); });
         state->calls.erase(found);
     });
     run(actions);
@@ -184,7 +180,7 @@
         const auto pushed = pushRecords(state, std::move(claim->records),
             [&node, key, attempt = call.attempt](AppendState fate) { claimResolved(node, key, attempt, fate); });
         if (!pushed) {
-            state.programs.abandonClaim(key.program, key.call, call.attempt);
+            state.programs.abandonClaim(now, key.program, key.call, call.attempt, node.authorityOf(state, now));
             return refusal(proved(ErrorKind::Overloaded, "", Milliseconds(500)));
         }
         node.runtime.after(
