Add the scheduler and gateway: one path from a caller to an endpoint

The scheduler composes the decision libraries into a node: it follows the configuration, takes partitions through the log, admits calls, takes rate permits and endpoint slots from their owners, dispatches and records. The gateway authenticates, removes the key and relays to the program's owner. An error that the gateway reports itself says 'not run' only when no attempt can have reached an owner.

--- /dev/null
+++ b/include/peridotramp/callers.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "peridotramp/programs.h"
+#include "peridotramp/runtime.h"
+
+namespace peridotramp {
+
+/// Body of `POST /v1/programs` and of `POST /v1/programs/ID/children`.
+struct BeginBody {
+    /// Name of the budget; empty for that of the workspace.
+    std::string budget;
+};
+
+/// Body of `POST /v1/programs/ID/calls`.
+struct CallBody {
+    /// Turn that the call continues from; the call becomes the next one.
+    TurnNumber turn;
+    Digest digest;
+    bool isService = false;
+    std::string name;
+    std::string input;
+    TokenCount maxTokens { 256 };
+    bool stream = false;
+    std::vector<ResentTurn> unconfirmed {};
+};
+
+/// Body of `POST /v1/chat/completions`, as far as it is supported.
+struct ChatBody {
+    std::string model;
+    /// All messages as one text.
+    std::string wholeInput;
+    /// The last message.
+    std::string lastInput;
+    TokenCount maxTokens { 256 };
+    bool stream = false;
+};
+
+/// Answer to a completed call.
+struct CallAnswer {
+    TurnNumber turn;
+    Digest digest;
+    std::string output;
+    TokenCount promptTokens;
+    TokenCount cachedTokens;
+    TokenCount completionTokens;
+    TurnNumber confirmedTurn;
+};
+
+/// Parsers of request bodies. Errors: `InvalidRequest` (not run), whose detail names the field.
+Result<BeginBody> parseBeginBody(const std::string& body);
+Result<CallBody> parseCallBody(const std::string& body);
+Result<ChatBody> parseChatBody(const std::string& body);
+
+/// Returns the text form of a program id, 16 hexadecimal digits.
+std::string programName(ProgramId program);
+/// Parses the text form of a program id; empty when it is anything else.
+std::optional<ProgramId> parseProgramName(std::string_view name);
+/// Returns the call id for a caller's idempotency key.
+CallId callIdOf(std::string_view idempotencyKey);
+/// Returns the key of an `Authorization: Bearer KEY` header; empty when there is none.
+std::optional<std::string_view> bearerKey(const HttpRequest& request);
+
+/// Returns the HTTP status for an error kind.
+unsigned statusOf(ErrorKind kind);
+/// Returns the JSON body that reports an error.
+std::string errorBody(const Error& error);
+HttpResponse errorResponse(const Error& error);
+/// Returns the JSON body that reports a new program.
+std::string begunBody(ProgramId program);
+/// Returns the JSON body that answers a completed call.
+std::string callAnswerBody(const CallAnswer& answer);
+/// Returns the JSON body that answers a chat completion.
+std::string chatAnswerBody(ProgramId program, const std::string& model, const CallAnswer& answer);
+/// Returns a server-sent event with one part of the output.
+std::string tokenEvent(std::string_view text);
+/// Returns a server-sent event with one part of the output of a chat completion.
+std::string chatTokenEvent(ProgramId program, const std::string& model, std::string_view text);
+/// Returns a server-sent event with a name and a JSON body.
+std::string namedEvent(std::string_view name, std::string_view body);
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,106 @@
+#include "gateway_p.h"
+
+#include <algorithm>
+
+namespace peridotramp {
+
+struct Gateway::Impl {
+    Impl(Runtime& runtime, GatewayInit init)
+        : state(runtime, std::move(init))
+    {
+    }
+
+    GatewayState state;
+};
+
+namespace {
+
+void awaitRequests(GatewayState& gateway, TimePoint limit, const std::function<void()>& done)
+{
+    if (gateway.server->activeExchanges() == 0 || RuntimeClock::now() >= limit)
+        return done();
+    gateway.runtime.after(Milliseconds(50), [&gateway, limit, done] { awaitRequests(gateway, limit, done); });
+}
+
+} // namespace
+
+GatewayInit readGatewaySettings(const std::string& text, std::vector<Problem>& problems)
+{
+    GatewayInit init;
+    const auto sections = parseIni(text);
+    if (!sections) {
+        problems.push_back({ "", "", "", sections.error().detail });
+        return init;
+    }
+    const auto found = std::ranges::find(*sections, "gateway", &IniSection::name);
+    const auto section = found == sections->end() ? IniSection { "gateway", {} } : *found;
+    SectionReader reader(section, problems);
+    init.domain = reader.text("domain", "");
+    init.listen = reader.address("listen", Address { "127.0.0.1", 0 });
+    init.admin = reader.address("admin", Address { "127.0.0.1", 0 });
+    init.threads = static_cast<std::size_t>(reader.integer("threads", 4, 1, 64));
+    init.drainDelay = Seconds(reader.integer("drain_seconds", 5, 0, 600));
+    init.drainLimit = Seconds(reader.integer("drain_limit_seconds", 60, 1, 3600));
+    init.defaultDeadline = Milliseconds(reader.integer("default_deadline_ms", 60'000, 1, 3'600'000));
+    for (const auto& item : reader.list("schedulers")) {
+        const auto address = Address::parse(item);
+        if (address)
+            init.schedulers.push_back(*address);
+        else
+            reader.reject("schedulers", item, "use addresses as HOST:PORT, separated by commas");
+    }
+    if (init.schedulers.empty())
+        reader.reject("schedulers", "", "list the TCP addresses of schedulers, those of the own failure domain first");
+    if (init.domain.empty())
+        reader.reject("domain", "", "name the failure domain of the instance");
+    reader.rejectUnknownKeys();
+    for (const auto& other : *sections) {
+        if (other.name != "gateway")
+            problems.push_back({ other.name, "", "", "unknown section; use [gateway]" });
+    }
+    return init;
+}
+
+Gateway::Gateway(Runtime& runtime, GatewayInit init)
+    : impl(std::make_unique<Impl>(runtime, std::move(init)))
+{
+    auto& state = this->impl->state;
+    HttpServer::Init server;
+    server.listen = state.init.listen;
+    state.server
+        = std::make_unique<HttpServer>(runtime, server, [&state](HttpRequest request, const HttpExchange& exchange) {
+              serveCaller(state, std::move(request), exchange);
+          });
+    HttpServer::Init admin;
+    admin.listen = state.init.admin;
+    state.admin = std::make_unique<HttpServer>(runtime, admin,
+        [&state](const HttpRequest& request, const HttpExchange& exchange) { serveAdmin(state, request, exchange); });
+}
+
+Gateway::~Gateway()
+{
+    for (auto& timer : this->impl->state.timers)
+        timer.cancel();
+}
+
+void Gateway::start() { startFollowing(this->impl->state); }
+
+void Gateway::drain(std::function<void()> done)
+{
+    auto& state = this->impl->state;
+    if (state.draining.exchange(true))
+        return;
+    log(LogLevel::Info, "draining");
+    state.runtime.after(state.init.drainDelay, [&state, done = std::move(done)] {
+        state.server->stopAccepting();
+        awaitRequests(state, RuntimeClock::now() + state.init.drainLimit, done);
+    });
+}
+
+std::string Gateway::dump() { return dumpOf(this->impl->state); }
+
+Address Gateway::address() const { return this->impl->state.server->address(); }
+
+Address Gateway::adminAddress() const { return this->impl->state.admin->address(); }
+
+} // namespace peridotramp
--- /dev/null
+++ b/src/gateway/relay.cpp
@@ -0,0 +1,172 @@
+#include "gateway_p.h"
+
+#include <algorithm>
+
+namespace peridotramp {
+
+namespace {
+
+constexpr Milliseconds retryPause { 100 };
+
+Milliseconds timeLeft(TimePoint deadline)
+{
+    return std::max(std::chrono::duration_cast<Milliseconds>(deadline - RuntimeClock::now()), Milliseconds(0));
+}
+
+// Whether the peer did not take the message because it does not own the partition or was not reached.
+bool isUntaken(const Result<Message>& answer)
+{
+    if (!answer)
+        return answer.error().outcome == Outcome::NotRun
+            && (answer.error().kind == ErrorKind::ConnectionFailed || answer.error().kind == ErrorKind::NotOwner);
+    const auto* error = std::get_if<ErrorMessage>(&answer.value());
+    return error && error->error.kind == ErrorKind::NotOwner;
+}
+
+void learn(GatewayState& gateway, PartitionId partition, const Result<Message>& answer)
+{
+    const auto* hint = answer ? std::get_if<ErrorMessage>(&answer.value()) : nullptr;
+    if (hint)
+        gateway.learnOwner(partition, *hint);
+    else
+        gateway.forgetOwner(partition);
+}
+
+} // namespace
+
+void askPartition(
+    GatewayState& gateway, PartitionId partition, Message message, TimePoint deadline, RpcClient::AnswerHook hook)
+{
+    const auto owner = gateway.ownerOf(partition);
+    const auto address = owner ? *owner : gateway.anyScheduler(gateway.nextSerial());
+    const auto left = std::max(timeLeft(deadline), Milliseconds(1));
+    gateway.rpc.call(address, message, left,
+        [&gateway, partition, message, deadline, hook = std::move(hook)](Result<Message> answer, bool last) {
+            if (!isUntaken(answer))
+                return hook(std::move(answer), last);
+            learn(gateway, partition, answer);
+            if (timeLeft(deadline) <= retryPause)
+                return hook(Error { ErrorKind::EndpointUnavailable, Outcome::NotRun, "no owner of the program answers",
+                                Milliseconds(500) },
+                    true);
+            gateway.runtime.after(retryPause, [&gateway, partition, message, deadline, hook] {
+                askPartition(gateway, partition, message, deadline, hook);
+            });
+        });
+}
+
+namespace {
+
+/// State of one relayed call. Guarded by its mutex, because its answers and its cancellation come on several threads.
+struct RelayState {
+    GatewayState& gateway;
+    CallRelay relay;
+    std::mutex mutex {};
+    RpcClient::Call call {};
+    bool cancelled = false;
+    bool streamed = false;
+    /// Whether an attempt may have reached an owner without an answer.
+    bool uncertain = false;
+};
+
+using RelayPointer = std::shared_ptr<RelayState>;
+
+void attempt(const RelayPointer& state);
+
+// An error that the gateway itself reports. It may say "not run" only if no attempt, of this or an earlier request for
+// the same call, can have reached an owner.
+Error ownError(const RelayState& state, ErrorKind kind)
+{
+    const bool provable = !state.uncertain && !state.relay.callerKey;
+    return { kind, provable ? Outcome::NotRun : Outcome::Unknown, "no owner of the program answers",
+        Milliseconds(500) };
+}
+
+void retryLater(const RelayPointer& state, ErrorKind kind)
+{
+    if (timeLeft(state->relay.deadline) <= retryPause)
+        return state->relay.onEnd(ownError(*state, kind));
+    state->gateway.runtime.after(retryPause, [state] { attempt(state); });
+}
+
+// The owner may have taken the call; asking again with the same call id joins it or tells its outcome.
+void retryUncertain(const RelayPointer& state, const Error& error)
+{
+    state->uncertain = true;
+    state->relay.message.repeated = true;
+    // Output that has been passed on cannot be taken back, so a second run must not begin.
+    if (state->streamed)
+        return state->relay.onEnd(Error { error.kind, Outcome::Unknown, error.detail, error.retryAfter });
+    state->gateway.forgetOwner(partitionOf(state->relay.message.program));
+    retryLater(state, error.kind);
+}
+
+bool isUncertain(const Error& error)
+{
+    return error.outcome == Outcome::Unknown
+        && (error.kind == ErrorKind::ConnectionFailed || error.kind == ErrorKind::EpochLost);
+}
+
+void handleAnswer(const RelayPointer& state, Result<Message> answer)
+{
+    const auto partition = partitionOf(state->relay.message.program);
+    if (isUntaken(answer)) {
+        learn(state->gateway, partition, answer);
+        return retryLater(state, ErrorKind::EndpointUnavailable);
+    }
+    if (answer) {
+        if (const auto* chunk = std::get_if<CallChunkMessage>(&answer.value())) {
+            state->streamed = true;
+            return state->relay.onToken(chunk->text);
+        }
+        if (auto* ended = std::get_if<CallEndedMessage>(&answer.value()))
+            return state->relay.onEnd(std::move(*ended));
+    }
+    const auto* message = answer ? std::get_if<ErrorMessage>(&answer.value()) : nullptr;
+    const auto error = message ? message->error : (answer ? Error { ErrorKind::Internal } : answer.error());
+    if (isUncertain(error))
+        return retryUncertain(state, error);
+    state->relay.onEnd(error);
+}
+
+void attempt(const RelayPointer& state)
+{
+    const auto partition = partitionOf(state->relay.message.program);
+    const auto owner = state->gateway.ownerOf(partition);
+    const auto address = owner ? *owner : state->gateway.anyScheduler(state->gateway.nextSerial());
+    const auto left = timeLeft(state->relay.deadline);
+    if (left <= Milliseconds(0))
+        return state->relay.onEnd(ownError(*state, ErrorKind::DeadlineExceeded));
+    state->relay.message.timeLeft = left;
+    // The owner ends the call at the deadline; the extra time lets its answer arrive.
+    const auto timeout = left + Milliseconds(1000);
+    const auto call = state->gateway.rpc.call(address, state->relay.message, timeout,
+        [state](Result<Message> answer, bool) { handleAnswer(state, std::move(answer)); });
+    bool cancelled = false;
+    {
+        const std::scoped_lock lock(state->mutex);
+        state->call = call;
+        cancelled = state->cancelled;
+    }
+    if (cancelled)
+        call.cancel();
+}
+
+} // namespace
+
+std::function<void()> relayCall(GatewayState& gateway, CallRelay relay)
+{
+    auto state = std::make_shared<RelayState>(gateway, std::move(relay));
+    attempt(state);
+    return [state] {
+        RpcClient::Call call;
+        {
+            const std::scoped_lock lock(state->mutex);
+            state->cancelled = true;
+            call = state->call;
+        }
+        call.cancel();
+    };
+}
+
+} // namespace peridotramp
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -143,8 +143,13 @@
             actions.push_back([&node, key] { dispatchCall(node, key); });
             return;
         }
-        const auto* refused = std::get_if<RefuseCall>(&decision);
+        // The fate is not known yet; the caller's deadline decides.
+        if (std::holds_alternative<JoinRunning>(decision))
+            return;
+        auto* refused = std::get_if<RefuseCall>(&decision);
         const auto error = refused ? refused->error : Error { ErrorKind::OutcomeUnknown };
+        if (refused)
+            static_cast<void>(pushRecords(*state, std::move(refused->records)));
         for (const auto& waiter : found->second.waiters)
             actions.push_back([respond = waiter.respond, error] { respond(refusal(error), true); });
         state->calls.erase(found);
@@ -158,8 +163,10 @@
 {
     const CallKey key { call.message.program, call.message.call };
     auto decision = state.programs.admitCall(now, requestOf(call.message, call), node.authorityOf(state, now));
-    if (const auto* refused = std::get_if<RefuseCall>(&decision))
+    if (auto* refused = std::get_if<RefuseCall>(&decision)) {
+        static_cast<void>(pushRecords(state, std::move(refused->records)));
         return refusal(refused->error);
+    }
     if (const auto* replay = std::get_if<ReplayOutcome>(&decision))
         return replayed(*replay, state.programs, key.program);
     if (std::holds_alternative<JoinRunning>(decision)) {
