Add peridotctl, the operator command line

Operators had only the library. peridotctl validates, compares, applies and shows documents, drains and returns instances, endpoints and failure domains, grants and withdraws keys, sets rates, and shows the status and dump of processes. Each change names the version that it replaces; exit codes tell a lost race, an unknown outcome and a change that is not yet in force on every node apart.

--- a/src/operators/admin.cpp
+++ b/src/operators/admin.cpp
@@ -124,6 +124,9 @@
     const auto response = this->send(admin, { .method = "POST", .target = isDraining ? "/drain" : "/return" });
     if (!response)
         return response.error();
+    // The process refused, so nothing has changed.
+    if (response->status == statusConflict)
+        return Error { ErrorKind::InvalidRequest, Outcome::NotRun, response->body };
     if (response->status != statusOk)
         return unexpectedStatus(admin, *response);
     return parseStatus(response->body);
--- /dev/null
+++ b/tools/peridotctl/session_p.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "peridotramp/operators.h"
+
+#include <memory>
+
+namespace peridotctl {
+
+using namespace peridotramp; // NOLINT(google-build-using-namespace): private header of one binary
+
+/// `[peridotctl]` of the settings.
+struct Settings {
+    Address log;
+    /// Admin addresses of the nodes that must have a change in force.
+    std::vector<Address> nodes;
+    /// Time for one answer of the log or of a node.
+    Milliseconds timeout { 2000 };
+    /// Time for all nodes to have a change in force.
+    Milliseconds nodeTimeout { 10'000 };
+};
+
+/// Reads the settings; an `InvalidSettings` error lists every problem.
+Result<Settings> readSettings(const std::string& path);
+/// Reads a whole file; `-` stands for standard input.
+Result<std::string> readFile(const std::string& path);
+
+/// Returns the hooks of the log at `address`.
+OperatorLog connectLog(Runtime& runtime, const Address& address, Milliseconds timeout);
+
+/// What all commands share.
+class Session {
+public:
+    explicit Session(bool isJson)
+        : isJson(isJson)
+    {
+    }
+
+    /// Reads the settings and starts the runtime. Commands that need neither log nor nodes do without.
+    Status open(const std::string& settingsPath);
+
+    /// Prints rows as a table or as JSON.
+    void print(const std::vector<DescriptionRow>& rows) const;
+    /// Prints text for people, or a JSON text.
+    void print(const std::string& text, const std::string& json) const;
+    /// Prints an error and returns its exit code.
+    ExitCode fail(const Error& error) const;
+
+    bool printsJson() const { return this->isJson; }
+    const Settings& current() const { return this->settings; }
+    OperatorFleet fleet();
+    const OperatorLog& log() const { return this->operatorLog; }
+    AdminClient& admin() { return *this->client; }
+    ApplyOptions applyOptions() const;
+
+private:
+    bool isJson;
+    Settings settings;
+    OperatorLog operatorLog;
+    std::unique_ptr<Runtime> runtime;
+    std::unique_ptr<AdminClient> client;
+};
+
+// Commands
+
+ExitCode validate(const Session& session, const std::string& file);
+/// Compares two files, or the document in force with one file when `after` is empty.
+ExitCode diff(Session& session, const std::string& before, const std::string& after);
+ExitCode apply(Session& session, const std::string& file, const std::string& base);
+/// Describes the configuration, or the document of one team.
+ExitCode show(Session& session, const std::string& team, bool asText);
+ExitCode status(Session& session);
+ExitCode dump(Session& session, const std::string& instance);
+ExitCode drainInstance(Session& session, const std::string& instance, bool isDraining);
+ExitCode setEndpoint(Session& session, const std::string& endpoint, EndpointEntry::State state);
+/// Sets the state in the document of `team`, or of every team that lists the failure domain.
+ExitCode setDomain(Session& session, const std::string& domain, const std::string& team, DomainEntry::State state);
+/// Grants a key. Without a digest, makes a new key and prints it once.
+ExitCode grant(Session& session, const std::string& team, const std::string& key, const std::string& workspace,
+    const std::string& digest);
+ExitCode withdraw(Session& session, const std::string& team, const std::string& key);
+ExitCode setWorkspaceRate(
+    Session& session, const std::string& team, const std::string& workspace, const RateEdit& rate);
+
+} // namespace peridotctl
