--- a/tests/configuration/convergence.cpp
+++ b/tests/configuration/convergence.cpp
@@ -182,7 +182,7 @@
         rc::gen::set(&Action::choice, rc::gen::inRange(0U, 64U)));
     rc::detail::TestParams params;
     params.seed = seed;
-    params.maxSuccess = 100;
+    params.maxSuccess = 200;
     const auto property = [&] {
         const auto actions = *rc::gen::container<std::vector<Action>>(*rc::gen::inRange(1, 150), action);
         Simulation simulation;
