--- a/include/peridotramp/programs.h
+++ b/include/peridotramp/programs.h
@@ -268,8 +268,8 @@
         TimePoint now, ProgramId program, CallId call, AttemptNumber attempt, Authority authority);
     /// Ends a dispatched call. Errors: `UnknownProgram`, `UnknownCall` for an attempt that is not running,
     /// `ProgramEnded`.
-    Result<FinishedCall> finishCall(
-        TimePoint now, ProgramId program, CallId call, AttemptNumber attempt, const CallResult& result);
+    Result<FinishedCall> finishCall(TimePoint now, ProgramId program, CallId call, AttemptNumber attempt,
+        const CallResult& result, Authority authority);
     /// Ends a program and its descendants. Ending an ended program again returns no programs.
     Result<EndedPrograms> end(TimePoint now, ProgramId program, EndReason reason, Authority authority);
     /// Ends the programs that exceeded their wall time or were idle too long, at most `most` of them.
--- a/src/decisions/programs/admission.cpp
+++ b/src/decisions/programs/admission.cpp
@@ -279,9 +279,12 @@
     program.takesResentTurns = false;
 }
 
-void undo(Program& program, const RunningCall& call, FinishedCall& finished)
+void undo(Program& program, const RunningCall& call, Authority authority, FinishedCall& finished)
 {
-    finished.outcome = program.mayHaveRun(call.call, call.idempotent) ? Outcome::Unknown : Outcome::NotRun;
+    // No claim keeps a new owner from running an idempotent call.
+    const bool elsewhere = call.idempotent && !authority.mayAct;
+    const bool mayHaveRun = elsewhere || program.mayHaveRun(call.call, call.idempotent);
+    finished.outcome = mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
     if (call.idempotent)
         return;
     program.removeClaim(call.call);
@@ -303,7 +306,7 @@
 } // namespace
 
 Result<FinishedCall> ProgramTable::finishCall(
-    TimePoint now, ProgramId program, CallId call, AttemptNumber attempt, const CallResult& result)
+    TimePoint now, ProgramId program, CallId call, AttemptNumber attempt, const CallResult& result, Authority authority)
 {
     auto& table = *this->state;
     auto* found = table.find(program);
@@ -325,7 +328,7 @@
     } else if (const auto* unknown = std::get_if<CallUnknown>(&result))
         closeUnknown(*found, running, *unknown, finished);
     else
-        undo(*found, running, finished);
+        undo(*found, running, authority, finished);
     if (const auto adjusted = found->adjustReservation(table.settings.chunk))
         finished.records.emplace_back(*adjusted);
     finished.turn = found->lastTurn();
--- a/tests/programs/failures.cpp
+++ b/tests/programs/failures.cpp
@@ -79,7 +79,7 @@
         if (events.dispatches.empty())
             events = this->settle(host);
         REQUIRE(events.dispatches.size() == 1);
-        const auto finished = host.finish(this->now, events.dispatches[0], CallCompleted { output, { 10 } });
+        const auto finished = host.finish(this->now, events.dispatches[0], CallCompleted { output, { 10 } }, acting);
         REQUIRE(finished);
         this->settle(host);
         return *finished;
@@ -128,7 +128,7 @@
     SECTION("between outcome and its record")
     {
         const auto events = fleet.settle(fleet.a);
-        fleet.a.finish(fleet.now, events.dispatches[0], CallCompleted { "out", { 10 } });
+        fleet.a.finish(fleet.now, events.dispatches[0], CallCompleted { "out", { 10 } }, acting);
     }
     fleet.take(fleet.b, 2);
     REQUIRE(onlyOutcome(fleet.b.request(fleet.now, request, acting)) == Outcome::Unknown);
@@ -143,7 +143,7 @@
     fleet.settle(fleet.a);
     fleet.a.request(fleet.now, fleet.request(5, false, fleet.a), acting);
     const auto events = fleet.settle(fleet.a);
-    const auto done = fleet.a.finish(fleet.now, events.dispatches[0], CallCompleted { "out", { 10 } });
+    const auto done = fleet.a.finish(fleet.now, events.dispatches[0], CallCompleted { "out", { 10 } }, acting);
     REQUIRE(done->confirmedTurn == TurnNumber { 0 });
     fleet.take(fleet.b, 2);
     auto next = fleet.request(6, true, fleet.b);
@@ -200,6 +200,30 @@
     REQUIRE(atB.dispatches.size() == 1);
 }
 
+TEST_CASE("a claim that lost its epoch is unknown, because the new owner may have run the call")
+{
+    Fleet fleet;
+    fleet.settle(fleet.a);
+    fleet.a.request(fleet.now, fleet.request(5, false, fleet.a), acting);
+    const auto& waiting = fleet.a.claims.begin()->second;
+    const auto decision = fleet.a.table.claimResolved(
+        fleet.now, waiting.program, waiting.call, waiting.attempt, AppendState::Rejected, acting);
+    REQUIRE(std::get<RefuseCall>(decision).error.outcome == Outcome::Unknown);
+}
+
+TEST_CASE("an idempotent call that was not sent is unknown at a node without the lease, for another may have run it")
+{
+    Fleet fleet;
+    fleet.settle(fleet.a);
+    const bool idempotent = GENERATE(true, false);
+    auto events = fleet.a.request(fleet.now, fleet.request(5, idempotent, fleet.a), acting);
+    if (!idempotent)
+        events = fleet.settle(fleet.a);
+    const WriteGuard guard;
+    const auto finished = fleet.a.finish(fleet.now, events.dispatches.at(0), CallNotRun { *guard.proof() }, frozen);
+    REQUIRE(finished->outcome == (idempotent ? Outcome::Unknown : Outcome::NotRun));
+}
+
 TEST_CASE("an owner that was frozen past its lease neither dispatches nor claims to know")
 {
     Fleet fleet;
@@ -254,6 +278,21 @@
     REQUIRE(onlyKind(fleet.a.request(fleet.now, request, acting)) == ErrorKind::CallInProgress);
 }
 
+TEST_CASE("a reservation that is not confirmed cannot be spent")
+{
+    Fleet fleet;
+    fleet.settle(fleet.a);
+    auto request = fleet.request(5, true, fleet.a);
+    request.worstCaseTokens = { 600 };
+    const auto dispatch = fleet.a.request(fleet.now, request, acting).dispatches.at(0);
+    fleet.a.finish(fleet.now, dispatch, CallCompleted { "out", { 600 } }, acting);
+    REQUIRE(fleet.a.queue->size() > 0);
+    auto next = fleet.request(6, true, fleet.a);
+    next.worstCaseTokens = { 600 };
+    REQUIRE(fleet.a.request(fleet.now, next, acting).dispatches.empty());
+    REQUIRE(fleet.settle(fleet.a).dispatches.size() == 1);
+}
+
 TEST_CASE("wrong turn and wrong digest are refused as not run and name the expected turn")
 {
     Fleet fleet;
@@ -277,7 +316,7 @@
     const auto running = fleet.a.request(fleet.now, request, acting).dispatches.at(0);
     REQUIRE(std::holds_alternative<JoinRunning>(fleet.a.table.admitCall(fleet.now, request, acting)));
     const std::string output = GENERATE(as<std::string> {}, "short", "longer than sixteen bytes");
-    fleet.a.finish(fleet.now, running, CallCompleted { output, { 10 } });
+    fleet.a.finish(fleet.now, running, CallCompleted { output, { 10 } }, acting);
     const auto replay = std::get<ReplayOutcome>(fleet.a.table.admitCall(fleet.now, request, acting));
     REQUIRE(replay.outcome == Outcome::Completed);
     REQUIRE(replay.answer.has_value() == (output.size() <= 16));
@@ -295,7 +334,7 @@
         fleet.a.request(fleet.now, request, acting);
     const auto events = steps > 1 ? fleet.settle(fleet.a) : fuzz::HostEvents {};
     if (steps > 2)
-        fleet.a.finish(fleet.now, events.dispatches.at(0), CallCompleted { "out", { 1500 } });
+        fleet.a.finish(fleet.now, events.dispatches.at(0), CallCompleted { "out", { 1500 } }, acting);
     fleet.take(fleet.b, 2);
     // The first chunk of 1,000 is gone; 2,500 once the call's reservation is in the log.
     const auto spent = fleet.b.table.row(fleet.program)->spent.tokens.value;
@@ -321,7 +360,7 @@
     // The child must not spend before the parent's reservation is in the log.
     REQUIRE(fleet.a.request(fleet.now, call, acting).dispatches.empty());
     const auto events = fleet.settle(fleet.a);
-    fleet.a.finish(fleet.now, events.dispatches.at(0), CallCompleted { "out", { 70 } });
+    fleet.a.finish(fleet.now, events.dispatches.at(0), CallCompleted { "out", { 70 } }, acting);
     auto ended = fleet.a.table.end(fleet.now, child->program, EndReason::Finished, acting);
     fleet.a.push(ended->records);
     REQUIRE(fleet.a.table.row(fleet.program)->spent.tokens == TokenCount { 60000 });
--- a/tests/programs/model.cpp
+++ b/tests/programs/model.cpp
@@ -222,7 +222,7 @@
             result = CallCompleted { "done", { 5 } };
         else if (const auto proof = guard.proof())
             result = CallNotRun { *proof };
-        if (const auto finished = node.host.finish(this->now, dispatch, result))
+        if (const auto finished = node.host.finish(this->now, dispatch, result, this->authority(target)))
             this->check(finished->outcome);
     }
 
--- a/tools/fuzz-programs/host.h
+++ b/tools/fuzz-programs/host.h
@@ -92,9 +92,11 @@
         return tickets ? *tickets : std::vector<AppendTicket> {};
     }
 
-    std::optional<FinishedCall> finish(TimePoint now, const Dispatch& dispatch, const CallResult& result)
+    std::optional<FinishedCall> finish(
+        TimePoint now, const Dispatch& dispatch, const CallResult& result, Authority authority)
     {
-        auto finished = this->table.finishCall(now, dispatch.program, dispatch.call, dispatch.attempt, result);
+        auto finished
+            = this->table.finishCall(now, dispatch.program, dispatch.call, dispatch.attempt, result, authority);
         if (!finished)
             return std::nullopt;
         this->push(std::move(finished->records));
--- /dev/null
+++ b/tools/fuzz-programs/simulation.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "host.h"
+
+#include <algorithm>
+#include <ranges>
+
+#include <random>
+
+namespace peridotramp::fuzz {
+
+/// What one seed did.
+struct Report {
+    /// First broken invariant; empty when all held.
+    std::string violation;
+    std::size_t executions = 0;
+    std::size_t completed = 0;
+    std::size_t takeovers = 0;
+    std::size_t confirmedTurns = 0;
+    std::size_t givenUp = 0;
+};
+
+/// Several owners, partitions and programs under random faults: kills, freezes, log outages, delayed and repeated
+/// appends, delayed reads, lost votes, lost answers and retries at other nodes. Checks I1, I2, I3, I12 and I13, and
+/// that no two nodes hold the lease of a partition at once. The seed decides everything.
+class Simulation {
+public:
+    explicit Simulation(std::uint64_t seed);
+    Report run();
+
+private:
+    static constexpr int nodeCount = 3;
+    static constexpr int partitionCount = 2;
+    static constexpr int callerCount = 6;
+    static constexpr std::size_t mostCallers = 10;
+    static constexpr int steps = 900;
+    static constexpr std::int64_t worstTokens = 200;
+    static constexpr Milliseconds step { 100 };
+
+    struct PendingRead {
+        TimePoint began;
+        TimePoint endsAt;
+        std::size_t saw = 0;
+    };
+    struct Node {
+        Incarnation incarnation { 1 };
+        TimePoint frozenUntil {};
+        LeaseVoter voter;
+        std::vector<Host> hosts;
+        std::array<std::optional<PendingRead>, partitionCount> reads;
+        std::array<bool, partitionCount> logAvailable {};
+    };
+    struct Vote {
+        int asker = 0;
+        Incarnation askerIncarnation;
+        int partition = 0;
+        LeaseQuestion question;
+        std::optional<LeaseAnswer> answer;
+        TimePoint arrivesAt;
+    };
+    struct DelayedAppend {
+        int partition = 0;
+        RecordGroup group;
+        TimePoint landsAt;
+    };
+    struct Execution {
+        int node = 0;
+        Incarnation incarnation;
+        int partition = 0;
+        Dispatch dispatch;
+        bool written = false;
+        TimePoint endsAt;
+    };
+    struct CallerTurn {
+        ResentTurn turn;
+        Digest digest;
+    };
+    struct PendingCall {
+        CallRequest request;
+        TimePoint retryAt;
+    };
+    struct Caller {
+        int partition = 0;
+        ProgramId program;
+        ProgramId root;
+        ProgramId parent;
+        std::vector<CallerTurn> turns;
+        std::int64_t confirmed = 0;
+        std::optional<PendingCall> call;
+        bool done = false;
+    };
+    struct Ledger {
+        std::int64_t tokens = 0;
+        std::int64_t calls = 0;
+    };
+
+    bool chance(double probability) { return std::uniform_real_distribution<>(0, 1)(this->random) < probability; }
+    int below(int limit) { return std::uniform_int_distribution<>(0, limit - 1)(this->random); }
+    Milliseconds upTo(int milliseconds) { return Milliseconds(this->below(milliseconds + 1)); }
+    Authority authority(int node, int partition);
+    Host makeHost(int node, int partition, Incarnation incarnation) const;
+    void restart(int node);
+    void injectFaults();
+    void stepLog();
+    void stepNode(int node);
+    void stepHost(int node, int partition);
+    void readLog(int node, int partition);
+    void tryTakeover(int node, int partition);
+    void sendAppend(int partition, RecordGroup group);
+    void stepVotes();
+    void stepExecutions();
+    void finish(const Execution& execution);
+    void stepCaller(Caller& caller);
+    void begin(Caller& caller);
+    void startCall(Caller& caller);
+    void sendCall(Caller& caller);
+    void beginChild(Caller& caller);
+    void endProgram(Caller& caller);
+    void handle(int node, int partition, const HostEvents& events);
+    void execute(int node, int partition, const Dispatch& dispatch);
+    void answer(const Answer& answer);
+    void completed(Caller& caller, const std::string& output, const Digest& digest);
+    int findOwner(int partition);
+    Caller* callerOf(ProgramId program);
+    void checkLeases();
+    void checkHistory();
+    void fail(const std::string& what);
+
+    std::mt19937_64 random;
+    TimePoint now { Seconds(1000) };
+    TimePoint logDownUntil {};
+    std::vector<Node> nodes;
+    std::array<std::vector<RecordGroup>, partitionCount> streams;
+    std::vector<DelayedAppend> appends;
+    std::vector<Vote> votes;
+    std::vector<Execution> executions;
+    std::vector<Caller> callers;
+    std::map<CallId, int> runs;
+    std::map<CallId, bool> idempotent;
+    std::map<ProgramId, Ledger> ledgers;
+    std::map<ProgramId, std::int64_t> lastTurnRun;
+    std::uint64_t nextCall = 1;
+    std::uint64_t nextAppend = 1;
+    Report report;
+};
+
+} // namespace peridotramp::fuzz
