Report status 0 for a call that got no response head

Cause: HttpClient::send passed a default HttpResponse, whose status is 200, when the connection failed, so a caller that reads the response alone took a refused connection for an answer. Change: the collected response starts with status 0, and the header says so.

--- a/include/peridotramp/runtime.h
+++ b/include/peridotramp/runtime.h
@@ -196,7 +196,7 @@
 
     /// Sends a request and passes the response on part by part.
     Call stream(const Address& address, HttpRequest request, Options options, HttpClientHooks hooks);
-    /// Sends a request and collects the response.
+    /// Sends a request and collects the response; its status is 0 when no response head arrived.
     Call send(const Address& address, HttpRequest request, Options options, ResponseHook hook);
 
     struct Impl;
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -198,7 +198,8 @@
 
 HttpClient::Call HttpClient::send(const Address& address, HttpRequest request, Options options, ResponseHook hook)
 {
-    auto response = std::make_shared<HttpResponse>();
+    // Without a response head the status stays 0; the default of 200 would pass for an answer.
+    auto response = std::make_shared<HttpResponse>(HttpResponse { 0 });
     HttpClientHooks hooks;
     hooks.onHead = [response](const HttpResponse& head) { *response = head; };
     hooks.onBody = [response](std::string_view part) { response->body.append(part); };
--- a/tests/runtime/http.cpp
+++ b/tests/runtime/http.cpp
@@ -111,6 +111,7 @@
     }
     REQUIRE(answer.result.error == ErrorKind::ConnectionFailed);
     REQUIRE_FALSE(answer.result.requestWritten);
+    REQUIRE(answer.response.status == 0);
 }
 
 TEST_CASE("a caller that reads too slowly is disconnected and bounds the memory of its response")
