--- a/include/peridotramp/codec.h
+++ b/include/peridotramp/codec.h
@@ -118,21 +118,18 @@
         archive.loadBytes(&number, sizeof(number));
 }
 
-template <typename Value>
-void serialize(peridotramp::BoundedInputArchive& archive, NameValuePair<Value>& pair)
+template <typename Value> void serialize(peridotramp::BoundedInputArchive& archive, NameValuePair<Value>& pair)
 {
     archive(pair.value);
 }
 
-template <typename Size>
-void serialize(peridotramp::BoundedInputArchive& archive, SizeTag<Size>& tag)
+template <typename Size> void serialize(peridotramp::BoundedInputArchive& archive, SizeTag<Size>& tag)
 {
     archive(tag.size);
     archive.requireBytes(static_cast<std::size_t>(tag.size));
 }
 
-template <typename Value>
-void load(peridotramp::BoundedInputArchive& archive, BinaryData<Value>& data)
+template <typename Value> void load(peridotramp::BoundedInputArchive& archive, BinaryData<Value>& data)
 {
     archive.loadBytes(data.data, static_cast<std::size_t>(data.size));
 }
@@ -167,7 +164,6 @@
 } // namespace cereal
 
 // Minimal serialization looks for the output counterpart of an input archive.
-template<>
-struct cereal::traits::detail::get_output_from_input<peridotramp::BoundedInputArchive> {
+template <> struct cereal::traits::detail::get_output_from_input<peridotramp::BoundedInputArchive> {
     using type = cereal::PortableBinaryOutputArchive;
 };
--- a/standins/log/main.cpp
+++ b/standins/log/main.cpp
@@ -31,7 +31,8 @@
     std::int64_t loseAnswers = 0;
     Milliseconds appendDelay { 0 };
     double appendsPerSecond = 0;
-    double tokens = 0;
+    // Starts full; each append first cuts it down to the bucket's size.
+    double tokens = std::numeric_limits<double>::max();
     TimePoint refilled {};
     std::int64_t appends = 0;
     std::int64_t refused = 0;
--- /dev/null
+++ b/tests/processes/client.cpp
@@ -0,0 +1,198 @@
+#include "fixture.h"
+#include "peridotramp/programs.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <sstream>
+
+using namespace processes;
+
+namespace {
+
+/// What the fake gateway does with the next calls.
+struct Behaviour {
+    int refuse = 0;
+    int closeAfterRun = 0;
+    bool wrongAnswer = false;
+    std::int64_t confirmed = 0;
+};
+
+struct Record {
+    Behaviour behaviour {};
+    std::uint64_t programs = 0;
+    std::map<std::string, std::string> answers {};
+    std::vector<std::string> bodies {};
+    std::set<std::string> authorizations {};
+    int ended = 0;
+};
+
+/// Gateway with just enough of the API to test the client.
+class FakeGateway {
+public:
+    explicit FakeGateway(Runtime& runtime)
+        : server(runtime, {}, [this](const HttpRequest& request, const HttpExchange& exchange) {
+            this->record.with(0, [&](Record& state) { this->serve(state, request, exchange); });
+        })
+    {
+    }
+
+    std::string address() const { return this->server.address().toString(); }
+    template <typename Function> auto with(Function&& function) { return this->record.with(0, function); }
+
+private:
+    void serve(Record& state, const HttpRequest& request, const HttpExchange& exchange)
+    {
+        state.authorizations.emplace(request.header("Authorization").value_or(""));
+        if (request.method == "DELETE") {
+            ++state.ended;
+            return exchange.respond(jsonResponse(200, "{}"));
+        }
+        if (request.path().ends_with("/calls"))
+            return this->call(state, request, exchange);
+        exchange.respond(jsonResponse(200,
+            json::serialize(json::object {
+                { "program", std::to_string(++state.programs) }, { "turn", 0 }, { "digest", Digest {}.toHex() } })));
+    }
+
+    void call(Record& state, const HttpRequest& request, const HttpExchange& exchange)
+    {
+        state.bodies.push_back(request.body);
+        if (state.behaviour.refuse > 0) {
+            --state.behaviour.refuse;
+            return exchange.respond(jsonResponse(
+                429, R"({"error":{"kind":"rate_exceeded","outcome":"not_run","retry_after_ms":1,"remedy":""}})"));
+        }
+        auto& answer = state.answers[std::string(request.header("Idempotency-Key").value_or(""))];
+        if (answer.empty())
+            answer = this->run(state, request);
+        if (state.behaviour.closeAfterRun > 0) {
+            --state.behaviour.closeAfterRun;
+            return exchange.abort();
+        }
+        const auto stream = json::parse(request.body).as_object().at("stream").as_bool();
+        if (!stream)
+            return exchange.respond(jsonResponse(200, answer));
+        exchange.startStream({ 200, { { "Content-Type", "text/event-stream" } }, {} });
+        exchange.write("data: {\"token\":\"out\"}\n\ndata: {\"token\":\"put\"}\n\n");
+        exchange.write("event: end\ndata: " + answer + "\n\n");
+        exchange.finish();
+    }
+
+    static std::string run(const Record& state, const HttpRequest& request)
+    {
+        const auto body = json::parse(request.body).as_object();
+        const auto turn = body.at("turn").to_number<std::int64_t>() + 1;
+        const auto id = request.target.substr(13, request.target.rfind('/') - 13);
+        const std::string input(body.at("input").as_string());
+        const auto previous = Digest::fromHex(std::string_view(body.at("digest").as_string()));
+        const auto digested = state.behaviour.wrongAnswer ? "input of another program" : input;
+        const auto digest
+            = turnDigest(*previous, ProgramId { std::stoull(id) }, TurnNumber { turn }, digested, "output");
+        return json::serialize(json::object { { "outcome", "completed" }, { "turn", turn },
+            { "digest", digest.toHex() }, { "output", "output" }, { "confirmed_turn", state.behaviour.confirmed } });
+    }
+
+    Sharded<Record, 1> record {};
+    HttpServer server;
+};
+
+const std::string script = R"({"name":"s","budget":"b","steps":[
+    {"model":"m","input":"guide {n}","max_tokens":5},
+    {"pause_ms":[1,3]},
+    {"children":[{"steps":[{"model":"m","input":"c"}]},{"steps":[{"call":"deposit","input":"d"}]}]},
+    {"call":"deposit","input":"sum"}]})";
+
+struct Setting {
+    TemporaryFolder folder {};
+    Fetcher http {};
+    FakeGateway gateway { this->http.loop() };
+
+    std::unique_ptr<Process> start(std::vector<std::string> arguments = {})
+    {
+        arguments.insert(arguments.end(),
+            { "--script", this->folder.write("script.json", script), "--gateway", this->gateway.address(),
+                "--key-variable", "TEST_KEY" });
+        return std::make_unique<Process>(
+            this->folder, "peridot-client", arguments, std::vector<std::string> { "TEST_KEY=secret-key" });
+    }
+};
+
+std::vector<json::object> linesOf(const Process& process)
+{
+    std::vector<json::object> lines;
+    std::istringstream text(process.standardOutput());
+    for (std::string line; std::getline(text, line);)
+        lines.push_back(json::parse(line).as_object());
+    return lines;
+}
+
+} // namespace
+
+TEST_CASE("the client runs programs with children to their end and never prints its key")
+{
+    Setting setting;
+    const auto client = setting.start({ "--programs", "6", "--concurrency", "3" });
+    REQUIRE(client->waitForEnd() == 0);
+    const auto lines = linesOf(*client);
+    REQUIRE(lines.size() == 6);
+    REQUIRE(std::ranges::all_of(lines, [](const json::object& line) {
+        return line.at("outcome") == "completed" && line.at("turns").to_number<int>() == 4
+            && line.at("children").to_number<int>() == 2;
+    }));
+    const auto printed = client->standardOutput() + client->standardError();
+    REQUIRE(printed.find("secret-key") == std::string::npos);
+    setting.gateway.with([](const Record& record) {
+        REQUIRE(record.ended == 18);
+        REQUIRE(record.authorizations == std::set<std::string> { "Bearer secret-key" });
+    });
+}
+
+TEST_CASE("the client repeats a refused or unanswered call with the same key")
+{
+    Setting setting;
+    setting.gateway.with([](Record& record) { record.behaviour = { 2, 1 }; });
+    const auto client = setting.start();
+    REQUIRE(client->waitForEnd() == 0);
+    const auto line = linesOf(*client).front();
+    REQUIRE(line.at("retries").to_number<int>() == 3);
+    REQUIRE(line.at("refusals").to_number<int>() == 2);
+    setting.gateway.with([](const Record& record) { REQUIRE(record.answers.size() == 4); });
+}
+
+TEST_CASE("the client resends the turns that are not confirmed and no others")
+{
+    Setting setting;
+    setting.gateway.with([](Record& record) { record.behaviour.confirmed = 0; });
+    REQUIRE(setting.start()->waitForEnd() == 0);
+    setting.gateway.with([](Record& record) {
+        const auto last = json::parse(record.bodies.back()).as_object();
+        REQUIRE(last.at("unconfirmed").as_array().size() == 1);
+        REQUIRE(last.at("unconfirmed").as_array().at(0).as_object().at("input") == "guide 0");
+        record.bodies.clear();
+        record.behaviour.confirmed = 1;
+    });
+    REQUIRE(setting.start()->waitForEnd() == 0);
+    setting.gateway.with([](const Record& record) {
+        REQUIRE_FALSE(json::parse(record.bodies.back()).as_object().contains("unconfirmed"));
+    });
+}
+
+TEST_CASE("the client reports an answer that belongs to another request")
+{
+    Setting setting;
+    setting.gateway.with([](Record& record) { record.behaviour.wrongAnswer = true; });
+    const auto client = setting.start();
+    REQUIRE(client->waitForEnd() == 1);
+    REQUIRE(linesOf(*client).front().at("outcome") == "mixed");
+}
+
+TEST_CASE("the client refuses a script with a mistake and names its place")
+{
+    Setting setting;
+    const auto path = setting.folder.write("wrong.json", R"({"steps":[{"pause_ms":-1}]})");
+    Process client(setting.folder, "peridot-client",
+        { "--script", path, "--gateway", setting.gateway.address(), "--key-variable", "TEST_KEY" }, { "TEST_KEY=k" });
+    REQUIRE(client.waitForEnd() == 2);
+    REQUIRE(client.standardError().find("script.steps[0]") != std::string::npos);
+}
--- /dev/null
+++ b/tests/processes/fixture.cpp
@@ -0,0 +1,177 @@
+#include "fixture.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <future>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace processes {
+
+namespace {
+
+constexpr Milliseconds pollPeriod { 5 };
+
+std::string readFile(const std::string& path)
+{
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+}
+
+std::vector<char*> pointersTo(std::vector<std::string>& texts)
+{
+    std::vector<char*> pointers;
+    std::ranges::transform(texts, std::back_inserter(pointers), [](std::string& text) { return text.data(); });
+    pointers.push_back(nullptr);
+    return pointers;
+}
+
+} // namespace
+
+bool waitUntil(const std::function<bool()>& condition, Duration limit)
+{
+    // The processes run on real time, so the limit is one of real time even while a test pauses the runtime's clock.
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(pollPeriod);
+    }
+    return true;
+}
+
+TemporaryFolder::TemporaryFolder()
+{
+    auto name = (std::filesystem::temp_directory_path() / "peridotramp-XXXXXX").string();
+    if (::mkdtemp(name.data()) == nullptr)
+        throw std::system_error(errno, std::generic_category(), "mkdtemp");
+    this->folder = name;
+}
+
+TemporaryFolder::~TemporaryFolder()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder, ignored);
+}
+
+std::string TemporaryFolder::path(const std::string& name) const { return (this->folder / name).string(); }
+
+std::string TemporaryFolder::write(const std::string& name, const std::string& text) const
+{
+    std::ofstream(this->path(name)) << text;
+    return this->path(name);
+}
+
+Process::Process(const TemporaryFolder& folder, const std::string& binary, std::vector<std::string> arguments,
+    const std::vector<std::string>& environment)
+{
+    static std::atomic<int> counter = 0;
+    const auto label = binary + "-" + std::to_string(++counter);
+    this->outputPath = folder.path(label + ".out");
+    this->errorPath = folder.path(label + ".err");
+    arguments.insert(arguments.begin(), PERIDOTRAMP_BINARY_DIR "/" + binary);
+    std::vector<std::string> variables = environment;
+    for (auto** variable = environ; *variable != nullptr; ++variable)
+        variables.emplace_back(*variable);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    constexpr auto flags = O_WRONLY | O_CREAT | O_TRUNC;
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, this->outputPath.c_str(), flags, 0600);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, this->errorPath.c_str(), flags, 0600);
+    auto argumentPointers = pointersTo(arguments);
+    auto variablePointers = pointersTo(variables);
+    const auto error = posix_spawn(
+        &this->pid, arguments.front().c_str(), &actions, nullptr, argumentPointers.data(), variablePointers.data());
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0)
+        throw std::system_error(error, std::generic_category(), arguments.front());
+}
+
+Process::~Process()
+{
+    if (!this->isRunning())
+        return;
+    this->signal(SIGKILL);
+    this->waitForEnd();
+}
+
+void Process::signal(int number) const
+{
+    if (!this->status)
+        ::kill(this->pid, number);
+}
+
+bool Process::isRunning()
+{
+    if (this->status)
+        return false;
+    int raw = 0;
+    if (::waitpid(this->pid, &raw, WNOHANG) != this->pid)
+        return true;
+    this->status = WIFEXITED(raw) ? WEXITSTATUS(raw) : 128 + WTERMSIG(raw);
+    return false;
+}
+
+std::optional<int> Process::waitForEnd(Duration limit)
+{
+    waitUntil([&] { return !this->isRunning(); }, limit);
+    return this->status;
+}
+
+std::string Process::standardOutput() const { return readFile(this->outputPath); }
+
+std::string Process::standardError() const { return readFile(this->errorPath); }
+
+Server::Server(const TemporaryFolder& folder, const std::string& binary, std::vector<std::string> arguments)
+{
+    static std::atomic<int> counter = 0;
+    const auto portFile = folder.path("port-" + std::to_string(++counter));
+    arguments.insert(arguments.end(), { "--port-file", portFile });
+    this->running = std::make_unique<Process>(folder, binary, std::move(arguments));
+    waitUntil([&] { return std::filesystem::exists(portFile) || !this->running->isRunning(); });
+    auto text = readFile(portFile);
+    text.erase(std::remove(text.begin(), text.end(), '\n'), text.end());
+    const auto address = Address::parse(text);
+    if (!address)
+        throw std::runtime_error(binary + " did not announce its address: " + this->running->standardError());
+    this->bound = *address;
+}
+
+json::object Fetcher::Answer::object() const
+{
+    boost::system::error_code error;
+    auto value = json::parse(this->response.body, error);
+    return !error && value.is_object() ? std::move(value.as_object()) : json::object {};
+}
+
+Fetcher::Fetcher() { this->runtime.start(); }
+
+Fetcher::Answer Fetcher::get(const Address& address, const std::string& target)
+{
+    return this->fetch(address, { "GET", target }, Milliseconds(10'000));
+}
+
+Fetcher::Answer Fetcher::post(const Address& address, const std::string& target, const std::string& body,
+    std::vector<HttpHeader> headers, Milliseconds timeout)
+{
+    return this->fetch(address, { "POST", target, std::move(headers), body }, timeout);
+}
+
+Fetcher::Answer Fetcher::fetch(const Address& address, HttpRequest request, Milliseconds timeout)
+{
+    std::promise<Answer> promise;
+    this->client.send(address, std::move(request), { timeout },
+        [&](HttpResult result, HttpResponse response) { promise.set_value({ result, std::move(response) }); });
+    return promise.get_future().get();
+}
+
+} // namespace processes
--- /dev/null
+++ b/tests/processes/standins.cpp
@@ -0,0 +1,175 @@
+#include "fixture.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <future>
+
+using namespace processes;
+
+namespace {
+
+struct Setting {
+    TemporaryFolder folder {};
+    Fetcher http {};
+};
+
+std::string completion(const std::string& program, int promptTokens, int maxTokens)
+{
+    return json::serialize(json::object { { "program", program }, { "turn", 1 }, { "prompt", "text" },
+        { "prompt_tokens", promptTokens }, { "max_tokens", maxTokens }, { "stream", true } });
+}
+
+json::object usageOf(const std::string& events)
+{
+    const auto start = events.rfind("data: ");
+    return json::parse(events.substr(start + 6)).as_object().at("usage").as_object();
+}
+
+} // namespace
+
+TEST_CASE("the log keeps a repeated append twice and loses an answer after the append took effect")
+{
+    Setting setting;
+    Server log(setting.folder, "standin-log");
+    const std::string path = "/streams/s/records";
+    const auto append = [&](const std::string& id, const std::string& data) {
+        return setting.http.post(log.address(), path, data, { { "Append-Id", id } });
+    };
+    REQUIRE(append("1", "a").object().at("offset").to_number<int>() == 0);
+    REQUIRE(append("1", "a").object().at("offset").to_number<int>() == 1);
+    setting.http.post(log.address(), "/faults", R"({"lose_answers":1})");
+    REQUIRE(append("2", "b").result.error == ErrorKind::ConnectionFailed);
+    const auto read = setting.http.get(log.address(), path + "?from=1&limit=9").object();
+    REQUIRE(json::serialize(read)
+        == R"({"first":0,"next":3,"records":[{"offset":1,"data":"YQ=="},{"offset":2,"data":"Yg=="}]})");
+}
+
+TEST_CASE("the log drops records beyond its retention and keeps counting offsets")
+{
+    Setting setting;
+    Server log(setting.folder, "standin-log", { "--retain-records", "2" });
+    for (int record = 0; record < 5; ++record)
+        setting.http.post(log.address(), "/streams/s/records", "x", { { "Append-Id", "1" } });
+    const auto read = setting.http.get(log.address(), "/streams/s/records?from=0&limit=9").object();
+    REQUIRE(read.at("first").to_number<int>() == 3);
+    REQUIRE(read.at("next").to_number<int>() == 5);
+    REQUIRE(read.at("records").as_array().size() == 2);
+}
+
+TEST_CASE("the log refuses appends beyond its rate and cuts off single clients")
+{
+    Setting setting;
+    Server log(setting.folder, "standin-log", { "--appends-per-second", "0.0001" });
+    const auto append = [&](const std::string& client) {
+        return setting.http.post(log.address(), "/streams/s/records", "x",
+            { { "Append-Id", "1" }, { "X-Client", client } }, Milliseconds(200));
+    };
+    REQUIRE(append("a").result.status == 200);
+    REQUIRE(append("a").result.status == 429);
+    setting.http.post(log.address(), "/faults", R"({"cut":["a"],"appends_per_second":1000})");
+    REQUIRE(append("a").result.error == ErrorKind::DeadlineExceeded);
+    REQUIRE(waitUntil([&] { return append("b").result.status == 200; }));
+}
+
+TEST_CASE("an outage refuses connections and ends by itself")
+{
+    Setting setting;
+    Server log(setting.folder, "standin-log");
+    setting.http.post(log.address(), "/faults", R"({"outage":"refuse","outage_ms":300})");
+    const auto isRefused = [&] {
+        const auto answer = setting.http.get(log.address(), "/streams/s/records");
+        return answer.result.error == ErrorKind::ConnectionFailed && !answer.result.requestWritten;
+    };
+    REQUIRE(waitUntil(isRefused));
+    REQUIRE(waitUntil([&] { return setting.http.get(log.address(), "/streams/s/records").result.status == 200; }));
+}
+
+TEST_CASE("the engine answers the same text again and processes a cached prefix only once")
+{
+    Setting setting;
+    Server engine(setting.folder, "standin-engine", { "--token-us", "100" });
+    const auto ask = [&](const std::string& program) {
+        return setting.http.post(
+            engine.address(), "/v1/completions", completion(program, 50, 3), { { "Call-Id", "c1" } });
+    };
+    const auto first = ask("7").response.body;
+    const auto second = ask("7").response.body;
+    REQUIRE(usageOf(first).at("cached_tokens").to_number<int>() == 0);
+    REQUIRE(usageOf(second).at("cached_tokens").to_number<int>() == 50);
+    REQUIRE(first.substr(0, first.rfind("data:")) == second.substr(0, second.rfind("data:")));
+    REQUIRE(ask("8").response.body.substr(0, 20) != first.substr(0, 20));
+    const auto state = setting.http.get(engine.address(), "/state").object();
+    REQUIRE(state.at("calls").as_object().at("c1").to_number<int>() == 3);
+    REQUIRE(state.at("headers").as_object().at("Call-Id").as_array().size() == 1);
+}
+
+TEST_CASE("a cold engine refuses more than it bears, and a release order empties its memory")
+{
+    Setting setting;
+    Server engine(setting.folder, "standin-engine", { "--token-us", "200000", "--cold-ms", "600000" });
+    auto running = std::async(std::launch::async, [&] {
+        return setting.http.post(
+            engine.address(), "/v1/completions", completion("7", 5, 50), { { "Call-Id", "a" } }, Milliseconds(30'000));
+    });
+    const auto isRunning
+        = [&] { return setting.http.get(engine.address(), "/state").object().at("running").to_number<int>() == 1; };
+    REQUIRE(waitUntil(isRunning));
+    REQUIRE(setting.http.post(engine.address(), "/v1/completions", completion("8", 5, 3)).result.status == 503);
+    setting.http.post(engine.address(), "/faults", R"({"token_us":100})");
+    REQUIRE(running.get().result.status == 200);
+    const auto order = [&](int token) {
+        return setting.http.post(engine.address(), "/orders",
+            json::serialize(json::object {
+                { "order_id", "o" }, { "fencing_token", token }, { "kind", "release" }, { "program", "7" } }));
+    };
+    REQUIRE(setting.http.get(engine.address(), "/kv").object().at("programs").as_array().size() == 1);
+    REQUIRE(order(5).result.status == 200);
+    REQUIRE(order(4).result.status == 409);
+    REQUIRE(setting.http.get(engine.address(), "/kv").object().at("programs").as_array().empty());
+    REQUIRE(setting.http.get(engine.address(), "/state").object().at("overloads").to_number<int>() == 1);
+}
+
+TEST_CASE("the service counts what it executed, whether or not it answered")
+{
+    Setting setting;
+    Server service(setting.folder, "standin-service");
+    const auto call = [&] {
+        return setting.http.post(service.address(), "/call/deposit", "x", { { "Call-Id", "c1" } }, Milliseconds(2000));
+    };
+    const auto executions = [&] {
+        const auto state = setting.http.get(service.address(), "/state").object();
+        const auto* count = state.at("executions").as_object().if_contains("c1");
+        return count == nullptr ? 0 : count->to_number<int>();
+    };
+    const auto fault = [&](const std::string& mode) {
+        setting.http.post(service.address(), "/faults", R"({"count":1,"mode":")" + mode + R"("})");
+    };
+    fault("close");
+    REQUIRE(call().result.error == ErrorKind::ConnectionFailed);
+    fault("status_500");
+    REQUIRE(call().result.status == 500);
+    REQUIRE(executions() == 0);
+    fault("execute_then_close");
+    REQUIRE(call().result.error == ErrorKind::ConnectionFailed);
+    REQUIRE(executions() == 1);
+    REQUIRE(call().result.status == 200);
+    REQUIRE(executions() == 2);
+}
+
+TEST_CASE("the instance list shows a change, and a process ends on SIGTERM")
+{
+    Setting setting;
+    Server instances(setting.folder, "standin-instances");
+    setting.http.post(instances.address(), "/instances", R"({"name":"n1","state":"leaving"})");
+    const auto shown = setting.http.get(instances.address(), "/instances").response.body;
+    REQUIRE(shown == R"({"instances":[{"name":"n1","state":"leaving"}]})");
+    instances.process().signal(SIGTERM);
+    REQUIRE(instances.process().waitForEnd() == 0);
+}
+
+TEST_CASE("the weight store sends all bytes of a download")
+{
+    Setting setting;
+    Server weights(setting.folder, "standin-weights");
+    REQUIRE(setting.http.get(weights.address(), "/weights/m?bytes=3000000").response.body.size() == 3'000'000);
+}
