--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -172,7 +172,8 @@
         return { 200, { { "tokens", held == this->cache.end() ? 0 : held->second.tokens } } };
     }
     if (kind == "load") {
-        this->models.insert(textOf(order, "model", ""));
+        // An order names all models that the engine is to hold.
+        this->models = textsOf(order, "models");
         return { 200, { { "models", json::array(this->models.begin(), this->models.end()) } } };
     }
     if (kind == "role") {
