--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -58,16 +58,19 @@
     void reportState(json::object& object)
     {
         json::object calls;
+        json::object byCall;
         json::object names;
         std::int64_t repeated = 0;
         this->executions.forEach([&](const Executions& shard) {
             for (const auto& [callId, execution] : shard) {
                 calls[callId] = execution.count;
+                byCall[callId] = json::object { { "name", execution.name }, { "count", execution.count } };
                 names[execution.name] = integerOf(names, execution.name, 0) + execution.count;
                 repeated += execution.count > 1 ? 1 : 0;
             }
         });
         object["executions"] = std::move(calls);
+        object["executions_by_call"] = std::move(byCall);
         object["executions_by_name"] = std::move(names);
         object["repeated_calls"] = repeated;
     }
