Set the presets from measured weights, and give workspaces the weight of their grant

Cause: the fake fleet gave every workspace the same weight, so a large workspace was held to a small one's share; and locality 0.5 let programs leave their prefix at high load.

--- a/src/decisions/scheduling/policy.cpp
+++ b/src/decisions/scheduling/policy.cpp
@@ -130,9 +130,9 @@
 std::optional<PolicyWeights> presetWeights(std::string_view preset)
 {
     if (preset == "kalahari")
-        return PolicyWeights { 0.9, 0.5, 0.3 };
+        return PolicyWeights { 1, 0.9, 0.5 };
     if (preset == "longgrass")
-        return PolicyWeights { 0.4, 0.6, 0.8 };
+        return PolicyWeights { 0.3, 1, 0.1 };
     return std::nullopt;
 }
 
--- a/tools/bench-scheduling/main.cpp
+++ b/tools/bench-scheduling/main.cpp
@@ -71,6 +71,7 @@
     while (queue.size() < sizes.programs)
         queue.push(at(0), makeCall(next++, sizes, random));
     std::vector<QueuedCall> calls;
+    calls.reserve(rounds);
     for (std::size_t round = 0; round < rounds; ++round)
         calls.push_back(makeCall(next++, sizes, random));
     return perSecond(rounds, [&](std::size_t round) {
@@ -94,6 +95,7 @@
     for (std::size_t program = 0; program < sizes.programs; ++program)
         ledger.recordUse(at(0), EndpointId { random() % sizes.endpoints }, ProgramId { program }, { 20'000 });
     std::vector<QueuedCall> calls;
+    calls.reserve(rounds);
     for (std::size_t round = 0; round < rounds; ++round)
         calls.push_back(makeCall(round, sizes, random));
     return perSecond(rounds, [&](std::size_t round) {
--- a/tools/measure/fleet.cpp
+++ b/tools/measure/fleet.cpp
@@ -70,6 +70,9 @@
 {
     constexpr Duration leaseForRun = Seconds(1'000'000);
     std::uint64_t next = 0;
+    double granted = 0;
+    for (const auto& workspace : this->deployment.workspaces)
+        granted += workspace.requestRate;
     for (std::size_t group = 0; group < this->deployment.groups.size(); ++group) {
         const auto& spec = this->deployment.groups[group];
         for (std::size_t index = 0; index < spec.endpoints; ++index) {
@@ -78,6 +81,13 @@
             const EngineSpec engine { spec.slots, spec.cacheTokens };
             this->endpoints.push_back(
                 { id, domain, group, FakeEngine(this->loop, engine, id), FairQueue({ this->policy }) });
+            // The share that a workspace is entitled to follows its grant; the mean weight is 1.
+            const auto workspaces = this->deployment.workspaces.size();
+            for (std::size_t workspace = 0; workspace < workspaces; ++workspace) {
+                const auto share = this->deployment.workspaces[workspace].requestRate / granted;
+                this->endpoints.back().queue.setWeight(
+                    WorkspaceId { workspace }, share * static_cast<double>(workspaces));
+            }
             const std::vector models { ModelId { group } };
             this->pool.configure(
                 this->now(), { id, domain, EndpointGroupId { group }, EndpointKind::Engine, models, { spec.slots } });
