Measure without a move of a failure domain as well

Cause: the baseline's latency at the usual load includes engines that fall over when a failure domain returns, so the ratio had to be checked without a move.

--- a/tools/measure/main.cpp
+++ b/tools/measure/main.cpp
@@ -18,6 +18,7 @@
     double load = 1;
     std::string folder {};
     std::vector<double> weights {};
+    bool staysInService = false;
 };
 
 std::vector<peridotramp::Policy> makePolicies(const Options& options)
@@ -33,7 +34,11 @@
 // Each task writes only its own cell, so the result does not depend on the order of the threads.
 std::vector<Series> measureAll(const Options& options)
 {
-    const std::vector deployments { kalahari(options.load), longgrass(options.load) };
+    std::vector deployments { kalahari(options.load), longgrass(options.load) };
+    for (auto& deployment : deployments) {
+        if (options.staysInService)
+            deployment.leavesAt = deployment.returnsAt = std::numeric_limits<double>::infinity();
+    }
     const auto policies = makePolicies(options).size();
     std::vector<Series> series;
     for (const auto& deployment : deployments) {
@@ -75,6 +80,7 @@
     app.add_option("--weights", options.weights, "also measure a policy with these weights: fairness locality order")
         ->expected(3)
         ->check(CLI::Range(0.0, 1.0));
+    app.add_flag("--no-move", options.staysInService, "no failure domain leaves; the rows of the move are then empty");
     CLI11_PARSE(app, argc, argv);
     const auto series = measureAll(options);
     fmt::print("seeds 1 to {}, load factor {}\n{}{}", options.seeds, options.load, table(series), scores(series));
