--- a/include/peridotramp/grants.h
+++ b/include/peridotramp/grants.h
@@ -87,6 +87,9 @@
 };
 
 /// Asks the owner of the bucket of another failure domain for a part of its share. Repeats of a term are harmless.
+///
+/// From the time of the request on, the borrower uses at most these amounts of earlier terms, so a request for less, or
+/// for nothing, returns the rest at once.
 struct LoanRequest {
     /// The lender's bucket.
     BucketKey bucket {};
@@ -96,6 +99,8 @@
     std::uint64_t term = 0;
     double rate = 0;
     double burst = 0;
+    /// Level that no longer fits into the borrower's bucket and goes back.
+    double level = 0;
 };
 
 struct LoanReply {
@@ -162,7 +167,7 @@
         /// Waiting requests of one source.
         std::size_t queuePerSource = 16;
         /// Time constant of the observed demand.
-        Duration demandWindow = Seconds(2);
+        Duration demandWindow = Seconds(1);
         /// Part of its base share that a failure domain in service keeps, whatever its demand.
         double keptShare = 0.1;
         /// Factor by which a lender keeps, and a borrower asks, more than the observed demand.
--- a/src/decisions/grants/grants_p.h
+++ b/src/decisions/grants/grants_p.h
@@ -47,6 +47,11 @@
     };
     Need needOf(TimePoint now, const Bucket& bucket) const;
     void plan(TimePoint now, Bucket& bucket, std::vector<LoanRequest>& out);
+    /// Returns what the lender can probably lend to this bucket, with what it lends already.
+    Need capacityOf(TimePoint now, const Bucket& bucket, DomainId lender) const;
+    LoanRequest ask(TimePoint now, Bucket& bucket, DomainId lender, const Need& part);
+    /// Takes back what the borrower no longer holds of earlier terms.
+    static void takeBack(Bucket& bucket, LentLoan& loan, const LoanRequest& request);
     bool isDue(TimePoint now, const Borrowing& loan, const Need& part) const;
     Need spareOf(TimePoint now, const Bucket& bucket, const LenderKey& except) const;
 
--- a/src/decisions/grants/loans.cpp
+++ b/src/decisions/grants/loans.cpp
@@ -10,6 +10,10 @@
 constexpr double leastPart = 0.01;
 // A need that has grown by this factor is asked for before the renewal.
 constexpr double growth = 1.2;
+// A need that has fallen below this part is returned before the renewal.
+constexpr double shrinkage = 0.6;
+// Time for which the last answer of a lender tells what it can spare.
+constexpr Duration hintLife = Seconds(1);
 constexpr Duration leastBetweenRequests = Milliseconds(100);
 
 } // namespace
@@ -35,63 +39,84 @@
 bool GrantTable::State::isDue(TimePoint now, const Borrowing& loan, const Need& part) const
 {
     const auto& limits = this->init.limits;
-    if (!loan.loan.isValid() || loan.lastTerm == 0)
-        return true;
+    const bool wanted = part.rate > 0 || part.burst > 0;
+    if (loan.lastTerm == 0)
+        return wanted;
     const auto age = now - loan.requestedAt;
     if (loan.outstanding)
-        return age >= limits.loanRetry;
+        return wanted && age >= limits.loanRetry;
+    if (age < leastBetweenRequests || (!wanted && loan.terms.empty()))
+        return false;
     const bool grown = part.rate > growth * loan.askedRate || part.burst > growth * loan.askedBurst;
     const bool hasSpare = loan.spareRate > 0 || loan.spareBurst > 0;
-    if (grown && hasSpare && age >= leastBetweenRequests)
+    if (grown && hasSpare)
         return true;
-    return age >= (loan.terms.empty() ? limits.lenderPause : limits.renewAfter);
+    if (loan.terms.empty())
+        return age >= limits.lenderPause;
+    const bool shrunk = part.rate < shrinkage * loan.terms.rate() && part.burst < shrinkage * loan.terms.burst();
+    return shrunk || age >= limits.renewAfter;
+}
+
+GrantTable::State::Need GrantTable::State::capacityOf(TimePoint now, const Bucket& bucket, DomainId lender) const
+{
+    const auto found = bucket.borrowed.find(lender);
+    const auto& base = bucket.base;
+    const auto most = this->shares.at(lender).out ? 1 : 1 - this->init.limits.keptShare;
+    if (found == bucket.borrowed.end())
+        return { base.rate * most, base.burst * most };
+    const auto& loan = found->second;
+    const Need held { loan.terms.rate(), loan.terms.burst() };
+    if (loan.hintKnown && now - loan.requestedAt < hintLife)
+        return { loan.spareRate + held.rate, loan.spareBurst + held.burst };
+    return { std::max(held.rate, base.rate * most), std::max(held.burst, base.burst * most) };
+}
+
+LoanRequest GrantTable::State::ask(TimePoint now, Bucket& bucket, DomainId lender, const Need& part)
+{
+    auto& loan = bucket.borrowed[lender];
+    if (!loan.loan.isValid())
+        loan.loan = LoanId { this->nextId() };
+    ++loan.lastTerm;
+    loan.requestedAt = now;
+    loan.outstanding = part.rate > 0 || part.burst > 0;
+    loan.askedRate = part.rate;
+    loan.askedBurst = part.burst;
+    loan.terms.limit(part.rate, part.burst);
+    const auto before = bucket.level;
+    bucket.recompute();
+    ++this->stats.loanRequests;
+    const BucketKey asked { bucket.key.workspace, lender, bucket.key.kind };
+    return { asked, bucket.key.domain, loan.loan, loan.lastTerm, part.rate, part.burst, before - bucket.level };
 }
 
 void GrantTable::State::plan(TimePoint now, Bucket& bucket, std::vector<LoanRequest>& out)
 {
     const auto own = this->shares.find(bucket.key.domain);
     const bool canAct = now >= bucket.lease.from && now < bucket.lease.until;
-    if (!canAct || own == this->shares.end() || !own->second.listed || own->second.out)
+    if (!canAct || own == this->shares.end() || !own->second.listed)
         return;
-    const auto need = this->needOf(now, bucket);
-    if (need.rate <= 0 && need.burst <= 0)
+    auto need = own->second.out ? Need {} : this->needOf(now, bucket);
+    if (need.rate <= 0 && need.burst <= 0 && bucket.borrowed.empty())
         return;
-    // Each lender is asked for a part after what it could spare when it last answered.
-    struct Lender {
-        DomainId domain {};
-        double rateWeight = 0;
-        double burstWeight = 0;
-    };
-    std::vector<Lender> lenders;
-    Need weights;
+    // Few lenders with much to spare cost fewer messages than a little from each.
+    std::vector<std::pair<Need, DomainId>> lenders;
     for (const auto& [domain, share] : this->shares) {
-        if (!share.listed || domain == bucket.key.domain)
-            continue;
-        const auto& loan = bucket.borrowed[domain];
-        const auto floor = leastPart * bucket.base.rate;
-        const auto burstFloor = leastPart * bucket.base.burst;
-        const Lender lender { domain, loan.hintKnown ? loan.spareRate + loan.terms.rate() + floor : bucket.base.rate,
-            loan.hintKnown ? loan.spareBurst + loan.terms.burst() + burstFloor : bucket.base.burst };
-        weights.rate += lender.rateWeight;
-        weights.burst += lender.burstWeight;
-        lenders.push_back(lender);
+        if (share.listed && domain != bucket.key.domain)
+            lenders.emplace_back(this->capacityOf(now, bucket, domain), domain);
     }
-    for (const auto& lender : lenders) {
-        const Need part { weights.rate > 0 ? need.rate * lender.rateWeight / weights.rate : 0,
-            weights.burst > 0 ? need.burst * lender.burstWeight / weights.burst : 0 };
-        auto& loan = bucket.borrowed[lender.domain];
-        if (!this->isDue(now, loan, part))
-            continue;
-        if (!loan.loan.isValid())
-            loan.loan = LoanId { this->nextId() };
-        ++loan.lastTerm;
-        loan.requestedAt = now;
-        loan.outstanding = true;
-        loan.askedRate = part.rate;
-        loan.askedBurst = part.burst;
-        const BucketKey asked { bucket.key.workspace, lender.domain, bucket.key.kind };
-        out.push_back({ asked, bucket.key.domain, loan.loan, loan.lastTerm, part.rate, part.burst });
-        ++this->stats.loanRequests;
+    std::ranges::sort(lenders, std::greater {}, [&](const auto& lender) {
+        const auto& [capacity, domain] = lender;
+        return std::pair(capacity.rate + capacity.burst, hashOf({ bucket.key.workspace, domain, bucket.key.kind }));
+    });
+    for (const auto& [capacity, domain] : lenders) {
+        const Need part { std::min(need.rate, capacity.rate), std::min(need.burst, capacity.burst) };
+        need.rate -= part.rate;
+        need.burst -= part.burst;
+        const auto loan = bucket.borrowed.find(domain);
+        const bool isDue
+            = loan == bucket.borrowed.end() ? part.rate > 0 || part.burst > 0 : this->isDue(now, loan->second, part);
+        if (isDue)
+            out.push_back(this->ask(now, bucket, domain, part));
     }
 }
 
@@ -130,6 +155,17 @@
     return { std::max(0.0, spare.rate), std::max(0.0, spare.burst) };
 }
 
+void GrantTable::State::takeBack(Bucket& bucket, LentLoan& loan, const LoanRequest& request)
+{
+    const auto before = loan.terms.burst();
+    loan.terms.limit(request.rate, request.burst);
+    const auto freed = before - loan.terms.burst();
+    bucket.recompute();
+    // The returned level is covered by burst that this bucket has kept free for it. Once the loan has ended, the bucket
+    // may have filled that part again.
+    bucket.putIn(std::clamp(request.level, 0.0, freed));
+}
+
 LoanReply GrantTable::lend(TimePoint now, const LoanRequest& request)
 {
     auto& own = *this->state;
@@ -139,8 +175,7 @@
     auto* bucket = own.reach(now, request.bucket);
     const auto share = own.shares.find(request.borrower);
     const bool isKnown = share != own.shares.end() && share->second.listed && request.borrower != request.bucket.domain;
-    // A successor knows nothing of this loan, so the borrower must be done with it when the own lease ends.
-    if (!bucket || !isKnown || now < bucket->lease.from || now + limits.loan > bucket->lease.until)
+    if (!bucket || !isKnown || now < bucket->lease.from || now >= bucket->lease.until)
         return reply;
     const LenderKey key { request.borrower, request.loan };
     auto& loan = bucket->lent[key];
@@ -150,6 +185,10 @@
     if (request.term <= loan.lastTerm)
         return reply;
     loan.lastTerm = request.term;
+    State::takeBack(*bucket, loan, request);
+    // A successor knows nothing of this loan, so the borrower must be done with it when the own lease ends.
+    if (now + limits.loan > bucket->lease.until)
+        return reply;
     const auto spare = own.spareOf(now, *bucket, key);
     reply.rate = std::clamp(request.rate, 0.0, spare.rate);
     reply.burst = std::clamp(request.burst, 0.0, spare.burst);
--- a/src/decisions/grants/terms.cpp
+++ b/src/decisions/grants/terms.cpp
@@ -10,6 +10,15 @@
     this->terms.push_back(term);
 }
 
+void TermStack::limit(double rate, double burst)
+{
+    for (auto& term : this->terms) {
+        term.rate = std::min(term.rate, rate);
+        term.burst = std::min(term.burst, burst);
+    }
+    std::erase_if(this->terms, [](const Term& term) { return term.rate <= 0 && term.burst <= 0; });
+}
+
 void TermStack::expire(TimePoint now)
 {
     std::erase_if(this->terms, [now](const Term& term) { return term.end <= now; });
--- a/src/decisions/grants/terms_p.h
+++ b/src/decisions/grants/terms_p.h
@@ -17,6 +17,8 @@
 
     /// Adds a term that ends no earlier than those added before.
     void add(const Term& term);
+    /// Lowers all terms to at most these amounts.
+    void limit(double rate, double burst);
     /// Drops the terms that have ended.
     void expire(TimePoint now);
     double rate() const;
--- a/src/decisions/membership/membership.cpp
+++ b/src/decisions/membership/membership.cpp
@@ -163,8 +163,15 @@
 
 void Membership::merge(TimePoint now, std::span<const MemberUpdate> rows)
 {
+    // What a member's table holds is known in the fleet; passing all of it on would crowd out news.
+    const auto news = this->state->fresh;
     for (const auto& row : rows)
         this->state->apply(now, row);
+    this->state->settleRows();
+    for (const auto node : news) {
+        if (auto* row = this->state->find(node))
+            this->state->refresh(*row);
+    }
 }
 
 std::optional<Membership::NewestVersion> Membership::newestVersion() const
--- a/src/decisions/membership/membership_p.h
+++ b/src/decisions/membership/membership_p.h
@@ -43,6 +43,8 @@
     void apply(TimePoint now, const MemberUpdate& update);
     void applyToSelf(const MemberUpdate& update);
     void enter(TimePoint now, Row& row, MemberState state);
+    /// Marks all rows as known to the fleet.
+    void settleRows();
     void refresh(Row& row);
     void suspect(TimePoint now, NodeId node, Incarnation incarnation);
     void endSuspicions(TimePoint now);
--- a/src/decisions/membership/table.cpp
+++ b/src/decisions/membership/table.cpp
@@ -33,6 +33,15 @@
     ++this->stats.suspicions;
 }
 
+void Membership::State::settleRows()
+{
+    for (const auto node : this->fresh) {
+        if (auto* row = this->find(node))
+            row->fresh = false;
+    }
+    this->fresh.clear();
+}
+
 void Membership::State::applyToSelf(const MemberUpdate& update)
 {
     if (this->hasLeft())
--- a/tools/bench-membership/fleet_p.h
+++ b/tools/bench-membership/fleet_p.h
@@ -170,7 +170,10 @@
     void sendAll(std::size_t from, std::vector<OutgoingMembership> messages)
     {
         for (auto& outgoing : messages) {
-            this->greatestMessage = std::max(this->greatestMessage, estimatedSize(outgoing.message));
+            const auto size = estimatedSize(outgoing.message);
+            this->greatestMessage = std::max(this->greatestMessage, size);
+            if (outgoing.message.kind == MembershipMessageKind::Announce)
+                this->announced += size;
             const auto to = this->byAddress.find(outgoing.address);
             if (to == this->byAddress.end() || this->isLost(from, to->second))
                 continue;
@@ -190,6 +193,8 @@
         return (from.value >= 3) != (to.value >= 3) ? Milliseconds(40) : Microseconds(1500);
     };
     ByteCount greatestMessage {};
+    /// Bytes of all announcements.
+    ByteCount announced {};
 
 private:
     struct Event {
