--- a/include/peridotramp/callers.h
+++ b/include/peridotramp/callers.h
@@ -21,6 +21,8 @@
     std::string input;
     TokenCount maxTokens { 256 };
     bool stream = false;
+    /// An earlier request for the same call had no answer or an unknown outcome.
+    bool repeated = false;
     std::vector<ResentTurn> unconfirmed {};
 };
 
--- a/include/peridotramp/gateway.h
+++ b/include/peridotramp/gateway.h
@@ -38,7 +38,7 @@
     void start();
     /// Stops accepting after the drain delay and calls `done` once all requests are answered.
     void drain(std::function<void()> done);
-    /// Returns the state of the gateway as JSON.
+    /// Returns the state of the gateway as a table.
     std::string dump();
 
     Address address() const;
--- a/include/peridotramp/operators.h
+++ b/include/peridotramp/operators.h
@@ -41,6 +41,8 @@
     std::function<std::vector<DescriptionRow>()> dump;
     /// Takes the instance out of service or returns it. Empty when the process cannot be drained.
     std::function<Status(bool)> setDraining {};
+    /// Serves further routes; returns whether it took the request. Empty when there are none.
+    std::function<bool(const HttpRequest&, const HttpExchange&)> serveOther {};
 };
 
 /// Serves `GET /live`, `/ready` (200 or 503), `/metrics`, `/dump` (`?format=json`) and `POST /drain`, `/return`.
--- a/include/peridotramp/scheduler.h
+++ b/include/peridotramp/scheduler.h
@@ -48,7 +48,7 @@
     void start();
     /// Hands all partitions over and calls `done` once no request is left.
     void drain(std::function<void()> done);
-    /// Returns the state of the node as JSON.
+    /// Returns the state of the node as a table.
     std::string dump();
     /// Returns whether the node has a configuration and is not draining.
     bool isReady();
--- a/src/callers/json.cpp
+++ b/src/callers/json.cpp
@@ -168,6 +168,7 @@
     call.input = fields.text("input", true);
     call.maxTokens = TokenCount { fields.integer("max_tokens", 256, 1, maxTokensLimit) };
     call.stream = fields.flag("stream");
+    call.repeated = fields.flag("repeated");
     if (const auto* turns = fields.list("unconfirmed")) {
         for (const auto& value : *turns)
             call.unconfirmed.push_back(resentTurn(value, fields));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -71,10 +71,15 @@
         = std::make_unique<HttpServer>(runtime, server, [&state](HttpRequest request, const HttpExchange& exchange) {
               serveCaller(state, std::move(request), exchange);
           });
-    HttpServer::Init admin;
-    admin.listen = state.init.admin;
-    state.admin = std::make_unique<HttpServer>(runtime, admin,
-        [&state](const HttpRequest& request, const HttpExchange& exchange) { serveAdmin(state, request, exchange); });
+    AdminHooks admin;
+    admin.status = [&state] { return statusOf(state); };
+    admin.metrics = [&state] { return state.metrics.toText(); };
+    admin.dump = [&state] { return dumpOf(state); };
+    admin.setDraining = [&state](bool isDraining) -> Status {
+        state.draining = isDraining;
+        return std::monostate {};
+    };
+    state.admin = std::make_unique<AdminServer>(runtime, state.init.admin, std::move(admin));
 }
 
 Gateway::~Gateway()
@@ -97,7 +102,7 @@
     });
 }
 
-std::string Gateway::dump() { return dumpOf(this->impl->state); }
+std::string Gateway::dump() { return toTable(dumpOf(this->impl->state)); }
 
 Address Gateway::address() const { return this->impl->state.server->address(); }
 
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -3,6 +3,7 @@
 #include "peridotramp/callers.h"
 #include "peridotramp/gateway.h"
 #include "peridotramp/nodes.h"
+#include "peridotramp/operators.h"
 
 namespace peridotramp {
 
@@ -28,7 +29,7 @@
     Sharded<GatewayConfiguration, 1> configuration {};
     Sharded<RoutingTable, 1> routes {};
     std::unique_ptr<HttpServer> server {};
-    std::unique_ptr<HttpServer> admin {};
+    std::unique_ptr<AdminServer> admin {};
     std::atomic<std::uint64_t> serials;
     std::atomic<bool> draining = false;
     std::vector<Timer> timers {};
@@ -69,7 +70,7 @@
 
 // routes.cpp
 void serveCaller(GatewayState& gateway, HttpRequest request, const HttpExchange& exchange);
-void serveAdmin(GatewayState& gateway, const HttpRequest& request, const HttpExchange& exchange);
-std::string dumpOf(GatewayState& gateway);
+std::vector<DescriptionRow> dumpOf(GatewayState& gateway);
+ProcessStatus statusOf(GatewayState& gateway);
 
 } // namespace peridotramp
--- a/src/gateway/routes.cpp
+++ b/src/gateway/routes.cpp
@@ -182,6 +182,7 @@
     message.turn = body->turn + TurnNumber { 1 };
     message.previous = body->digest;
     message.unconfirmed = body->unconfirmed;
+    message.repeated = body->repeated;
     message.target = body->isService ? CallTarget::Service : CallTarget::Model;
     message.name = body->name;
     message.input = body->input;
@@ -314,42 +315,41 @@
     answer(gateway, exchange, refused(ErrorKind::InvalidRequest, "no such route"));
 }
 
-std::string dumpOf(GatewayState& gateway)
+std::vector<DescriptionRow> dumpOf(GatewayState& gateway)
 {
-    json::object object { { "domain", gateway.init.domain }, { "draining", gateway.draining.load() },
-        { "active_requests", gateway.server->activeExchanges() } };
-    const auto version
-        = gateway.configuration.with(0, [](GatewayConfiguration& state) { return state.state.version(); });
-    object["configuration"]
-        = json::object { { "ready", version.isValid() }, { "version", version.isValid() ? version.value : 0 } };
-    json::array owners;
+    std::vector<DescriptionRow> rows;
+    const auto add = [&](std::string section, std::string key, std::string value) {
+        rows.push_back({ std::move(section), std::move(key), std::move(value) });
+    };
+    add("gateway", "domain", gateway.init.domain);
+    add("gateway", "draining", gateway.draining ? "true" : "false");
+    add("gateway", "active_requests", fmt::to_string(gateway.server->activeExchanges()));
     const auto table = gateway.routes.with(0, [](const RoutingTable& routes) { return routes; });
     for (const auto& [partition, owner] : table.owners)
-        owners.push_back(json::object { { "partition", partition.value }, { "node", owner.node.value } });
-    object["owners"] = std::move(owners);
-    return json::serialize(object);
+        add(fmt::format("partition {}", partition.value), "owner_node", fmt::to_string(owner.node.value));
+    if (const auto configuration = gateway.configurationNow()) {
+        const auto described = describe(*configuration);
+        rows.insert(rows.end(), described.begin(), described.end());
+    }
+    return rows;
 }
 
-void serveAdmin(GatewayState& gateway, const HttpRequest& request, const HttpExchange& exchange)
+ProcessStatus statusOf(GatewayState& gateway)
 {
-    const auto path = request.path();
-    const bool ready = gateway.configurationNow() && !gateway.draining && !gateway.partitionsForNewPrograms().empty();
-    if (path == "/live")
-        return exchange.respond(textResponse(200, "live\n"));
-    if (path == "/ready")
-        return exchange.respond(textResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
-    if (path == "/metrics")
-        return exchange.respond(textResponse(200, gateway.metrics.toText()));
-    if (path == "/dump")
-        return exchange.respond(jsonResponse(200, dumpOf(gateway)));
-    if (path == "/version") {
-        const auto version
-            = gateway.configuration.with(0, [](GatewayConfiguration& state) { return state.state.version(); });
-        return exchange.respond(jsonResponse(200,
-            json::serialize(
-                json::object { { "ready", ready }, { "version", version.isValid() ? version.value : 0 } })));
-    }
-    exchange.respond(textResponse(404, "use /live, /ready, /metrics, /dump or /version\n"));
+    ProcessStatus status;
+    status.process = "gateway " + gateway.server->address().toString();
+    status.domain = gateway.init.domain;
+    status.isDraining = gateway.draining;
+    gateway.configuration.with(0, [&](GatewayConfiguration& configuration) {
+        status.version = configuration.state.version();
+        status.age = configuration.state.age(RuntimeClock::now());
+    });
+    status.isReady = gateway.configurationNow() && !status.isDraining && !gateway.partitionsForNewPrograms().empty();
+    if (!status.isReady)
+        status.detail = status.isDraining
+            ? "the gateway is draining"
+            : "no configuration or no scheduler that owns a partition; check the schedulers";
+    return status;
 }
 
 } // namespace peridotramp
--- a/src/operators/admin.cpp
+++ b/src/operators/admin.cpp
@@ -74,8 +74,10 @@
 
 AdminServer::AdminServer(Runtime& runtime, const Address& listen, AdminHooks hooks)
     : server(runtime, HttpServer::Init { .listen = listen },
-          [hooks = std::move(hooks)](
-              const HttpRequest& request, const HttpExchange& exchange) { exchange.respond(answer(hooks, request)); })
+          [hooks = std::move(hooks)](const HttpRequest& request, const HttpExchange& exchange) {
+              if (!hooks.serveOther || !hooks.serveOther(request, exchange))
+                  exchange.respond(answer(hooks, request));
+          })
 {
 }
 
--- a/src/scheduler/admin.cpp
+++ b/src/scheduler/admin.cpp
@@ -1,6 +1,7 @@
 #include "node_p.h"
 
 #include <boost/json.hpp>
+#include <fmt/format.h>
 
 namespace peridotramp {
 
@@ -8,66 +9,94 @@
 
 namespace {
 
-json::object describe(PartitionState& state, TimePoint now)
+/// Collects rows of one section.
+class Rows {
+public:
+    Rows(std::vector<DescriptionRow>& rows, std::string section)
+        : rows(rows)
+        , section(std::move(section))
+    {
+    }
+
+    template <typename Value> void add(std::string_view key, const Value& value)
+    {
+        this->rows.push_back({ this->section, std::string(key), fmt::format("{}", value) });
+    }
+
+private:
+    std::vector<DescriptionRow>& rows;
+    std::string section;
+};
+
+void describeEndpoints(std::vector<DescriptionRow>& rows, const PartitionState& state, TimePoint now)
+{
+    for (const auto endpoint : state.pool.endpoints()) {
+        const auto view = state.pool.view(now, endpoint);
+        if (!view)
+            continue;
+        Rows section(rows, fmt::format("endpoint {}", endpoint.value));
+        section.add("state", toString(view->state));
+        section.add("window", view->window.value);
+        section.add("held", view->held.value);
+        section.add("breaker_open", view->breakerOpen);
+    }
+}
+
+void describePartition(std::vector<DescriptionRow>& rows, PartitionState& state, TimePoint now)
 {
+    Rows section(rows, fmt::format("partition {}", state.id.value));
     const auto stats = state.programs.stats();
-    json::object object { { "partition", state.id.value }, { "next_offset", state.log.next().value },
-        { "owner", state.lease->isOwner() }, { "may_act", state.lease->mayAct(now) },
-        { "running_calls", state.calls.size() }, { "live_programs", stats.live }, { "ended_programs", stats.ended },
-        { "turns", stats.turns }, { "dispatched", stats.dispatched }, { "replayed", stats.replayed },
-        { "refused", stats.refused } };
+    section.add("next_offset", state.log.next().value);
+    section.add("is_owner", state.lease->isOwner());
+    section.add("may_act", state.lease->mayAct(now));
     if (const auto& current = state.log.current()) {
-        object["epoch"] = current->epoch.value;
-        object["owner_node"] = current->record.node.value;
+        section.add("epoch", current->epoch.value);
+        section.add("owner_node", current->record.node.value);
     }
-    if (state.queue)
-        object["queued_records"] = state.queue->size();
-    json::array groups;
+    section.add("queued_records", state.queue ? state.queue->size() : 0);
+    section.add("running_calls", state.calls.size());
+    section.add("live_programs", stats.live);
+    section.add("ended_programs", stats.ended);
+    section.add("turns", stats.turns);
+    section.add("dispatched", stats.dispatched);
+    section.add("replayed", stats.replayed);
+    section.add("refused", stats.refused);
+    section.add("pending_releases", state.kv.pendingReleases());
     for (const auto& [key, group] : state.groups)
-        groups.push_back(json::object {
-            { "name", key.name }, { "endpoints", group.endpoints.size() }, { "waiting", group.waiting.size() } });
-    object["groups"] = std::move(groups);
-    json::array endpoints;
-    for (const auto endpoint : state.pool.endpoints()) {
-        const auto view = state.pool.view(now, endpoint);
-        if (view)
-            endpoints.push_back(json::object { { "endpoint", endpoint.value }, { "state", toString(view->state) },
-                { "window", view->window.value }, { "held", view->held.value },
-                { "breaker_open", view->breakerOpen } });
-    }
-    object["endpoints"] = std::move(endpoints);
-    return object;
+        section.add("waiting_for_" + key.name, group.waiting.size());
+    describeEndpoints(rows, state, now);
 }
 
-json::array membersOf(Node& node)
+void describeMembers(Node& node, std::vector<DescriptionRow>& rows)
 {
-    json::array rows;
     const auto members
         = node.membership.with(0, [](const std::unique_ptr<Membership>& table) { return table->members(); });
     for (const auto& member : members) {
-        rows.push_back(json::object { { "node", member.row.node.value }, { "domain", member.row.domain.value },
-            { "state", toString(member.row.state) }, { "incarnation", member.row.incarnation.value },
-            { "tcp", member.row.addresses.tcp.toString() }, { "admin", member.row.addresses.admin.toString() } });
+        Rows section(rows, fmt::format("member {}", member.row.node.value));
+        section.add("domain", member.row.domain.value);
+        section.add("state", toString(member.row.state));
+        section.add("incarnation", member.row.incarnation.value);
+        section.add("tcp", member.row.addresses.tcp.toString());
+        section.add("admin", member.row.addresses.admin.toString());
     }
-    return rows;
 }
 
-json::object configurationStatus(Node& node)
+ProcessStatus statusOf(Node& node)
 {
-    return node.configuration.with(0, [](ConfigurationShard& shard) {
-        json::object object { { "ready", shard.current != nullptr } };
-        if (shard.state.version().isValid())
-            object["version"] = shard.state.version().value;
-        if (const auto age = shard.state.age(RuntimeClock::now()))
-            object["age_ms"] = std::chrono::duration_cast<Milliseconds>(*age).count();
-        json::object teams;
-        if (shard.current) {
-            for (const auto& document : shard.current->documents())
-                teams[document->document.team.name] = document->version.value;
-        }
-        object["teams"] = std::move(teams);
-        return object;
+    ProcessStatus status;
+    status.process = node.init.name;
+    status.domain = node.init.domain;
+    status.isDraining = node.draining;
+    node.configuration.with(0, [&](ConfigurationShard& shard) {
+        status.isReady = shard.current != nullptr && !status.isDraining;
+        status.version = shard.state.version();
+        status.age = shard.state.age(RuntimeClock::now());
     });
+    if (!status.isReady)
+        status.detail = status.isDraining
+            ? "the node is draining"
+            : "the node has no configuration; check that the log or a peer can be reached";
+    return status;
 }
 
 // Replaces the set of addresses from which this node is cut off; a test hook.
@@ -90,51 +119,50 @@
     exchange.respond(jsonResponse(200, "{}"));
 }
 
-void serve(Node& node, const HttpRequest& request, const HttpExchange& exchange)
+// Serves the test hooks; everything else is left to the admin server.
+bool serveOther(Node& node, const HttpRequest& request, const HttpExchange& exchange)
 {
-    const auto path = request.path();
-    if (path == "/live")
-        return exchange.respond(textResponse(200, "live\n"));
-    if (path == "/ready") {
-        const bool ready = node.configurationNow() && !node.draining;
-        return exchange.respond(textResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
-    }
-    if (path == "/metrics")
-        return exchange.respond(textResponse(200, node.metrics.toText()));
-    if (path == "/dump")
-        return exchange.respond(jsonResponse(200, dumpOf(node)));
-    if (path == "/version")
-        return exchange.respond(jsonResponse(200, json::serialize(configurationStatus(node))));
-    if (path == "/cuts" && request.method == "POST")
-        return setCuts(node, request, exchange);
-    exchange.respond(textResponse(404, "use /live, /ready, /metrics, /dump or /version\n"));
+    if (request.path() != "/cuts" || request.method != "POST")
+        return false;
+    setCuts(node, request, exchange);
+    return true;
 }
 
 } // namespace
 
-std::string dumpOf(Node& node)
+std::vector<DescriptionRow> dumpOf(Node& node)
 {
     const auto now = RuntimeClock::now();
-    json::object object { { "name", node.init.name }, { "node", node.self.value },
-        { "incarnation", node.incarnation.value }, { "domain", node.init.domain },
-        { "draining", node.draining.load() } };
-    object["configuration"] = configurationStatus(node);
-    object["members"] = membersOf(node);
-    json::array partitions;
+    std::vector<DescriptionRow> rows;
+    Rows section(rows, "node");
+    section.add("name", node.init.name);
+    section.add("node", node.self.value);
+    section.add("incarnation", node.incarnation.value);
+    section.add("domain", node.init.domain);
+    section.add("draining", node.draining.load());
+    if (const auto configuration = node.configurationNow()) {
+        const auto described = describe(*configuration);
+        rows.insert(rows.end(), described.begin(), described.end());
+    }
+    describeMembers(node, rows);
     node.partitions.forEach([&](PartitionMap& map) {
         for (auto& [id, state] : map)
-            partitions.push_back(describe(state, now));
+            describePartition(rows, state, now);
     });
-    object["partitions"] = std::move(partitions);
-    return json::serialize(object);
+    return rows;
 }
 
 void startAdmin(Node& node)
 {
-    HttpServer::Init init;
-    init.listen = node.init.admin;
-    node.admin = std::make_unique<HttpServer>(node.runtime, init,
-        [&node](const HttpRequest& request, const HttpExchange& exchange) { serve(node, request, exchange); });
+    AdminHooks hooks;
+    hooks.status = [&node] { return statusOf(node); };
+    hooks.metrics = [&node] { return node.metrics.toText(); };
+    hooks.dump = [&node] { return dumpOf(node); };
+    hooks.serveOther = [&node](const HttpRequest& request, const HttpExchange& exchange) {
+        return serveOther(node, request, exchange);
+    };
+    hooks.setDraining = [&node](bool isDraining) { return setDraining(node, isDraining); };
+    node.admin = std::make_unique<AdminServer>(node.runtime, node.init.admin, std::move(hooks));
 }
 
 } // namespace peridotramp
--- a/src/scheduler/node_p.h
+++ b/src/scheduler/node_p.h
@@ -2,6 +2,7 @@
 
 #include "peridotramp/endpoints.h"
 #include "peridotramp/nodes.h"
+#include "peridotramp/operators.h"
 #include "peridotramp/platform.h"
 #include "peridotramp/scheduler.h"
 
@@ -131,7 +132,7 @@
     EndpointClient endpoints;
     std::unique_ptr<RpcServer> server {};
     std::unique_ptr<DatagramSocket> gossip {};
-    std::unique_ptr<HttpServer> admin {};
+    std::unique_ptr<AdminServer> admin {};
     Sharded<PartitionMap> partitions {};
     Sharded<std::unique_ptr<Membership>, 1> membership {};
     Sharded<ConfigurationShard, 1> configuration {};
@@ -244,6 +245,10 @@
 
 // admin.cpp
 void startAdmin(Node& node);
-std::string dumpOf(Node& node);
+std::vector<DescriptionRow> dumpOf(Node& node);
+
+// scheduler.cpp
+/// Takes the node out of service, handing its partitions over, or returns it.
+Status setDraining(Node& node, bool isDraining);
 
 } // namespace peridotramp
--- a/src/scheduler/run.cpp
+++ b/src/scheduler/run.cpp
@@ -184,7 +184,10 @@
         const auto now = RuntimeClock::now();
         auto finished = state->programs.finishCall(
             now, key.program, key.call, call.attempt, result, node.authorityOf(*state, now));
-        Message message = ErrorMessage { error, {}, {} };
+        auto reported = error;
+        if (finished)
+            reported.outcome = finished->outcome;
+        Message message = ErrorMessage { reported, {}, {} };
         if (finished) {
             static_cast<void>(pushRecords(*state, std::move(finished.value().records)));
             if (std::holds_alternative<CallCompleted>(result)) {
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -42,6 +42,21 @@
 
 } // namespace
 
+Status setDraining(Node& node, bool isDraining)
+{
+    if (node.draining.exchange(isDraining) == isDraining)
+        return std::monostate {};
+    log(LogLevel::Info, isDraining ? "taken out of service" : "returned to service");
+    if (!isDraining)
+        return std::monostate {};
+    node.partitions.forEach([](PartitionMap& map) {
+        for (auto& [id, state] : map)
+            state.handingOver = state.queue.has_value();
+    });
+    awaitCalls(node, RuntimeClock::now() + node.init.drainLimit, [] { });
+    return std::monostate {};
+}
+
 SchedulerInit readSchedulerSettings(const std::string& text, std::vector<Problem>& problems)
 {
     SchedulerInit init;
@@ -142,7 +157,7 @@
     });
 }
 
-std::string Scheduler::dump() { return dumpOf(this->impl->node); }
+std::string Scheduler::dump() { return toTable(dumpOf(this->impl->node)); }
 
 bool Scheduler::isReady() { return this->impl->node.configurationNow() && !this->impl->node.draining; }
 
