Clear linter findings in the membership and grants benchmarks

Lists grow to their known size at once, an optional argument goes by reference, and a quantile is rounded by lround.

--- a/tools/bench-grants/sim_p.h
+++ b/tools/bench-grants/sim_p.h
@@ -128,6 +128,7 @@
         auto& holder = this->holders[index];
         holder.table = GrantTable({ this->faultRandom(), {} });
         std::vector<GrantDomain> list;
+        list.reserve(this->holders.size());
         for (std::size_t other = 0; other < this->holders.size(); ++other)
             list.push_back({ DomainId { other } });
         holder.table.configureDomains(from, list, Offset { 1 });
--- a/tools/bench-membership/fleet_p.h
+++ b/tools/bench-membership/fleet_p.h
@@ -40,7 +40,7 @@
     }
 
     /// Starts a node that knows only the seeds and returns its index.
-    std::size_t add(DomainId domain, std::optional<MemberAddresses> addresses = std::nullopt)
+    std::size_t add(DomainId domain, const std::optional<MemberAddresses>& addresses = std::nullopt)
     {
         const auto index = this->nodes.size();
         const auto host = "10." + std::to_string(domain.value) + "." + std::to_string(index / 250) + "."
@@ -89,6 +89,7 @@
     void introduceAll()
     {
         std::vector<MemberUpdate> rows;
+        rows.reserve(this->nodes.size());
         for (auto& node : this->nodes)
             rows.push_back(node.membership->find(NodeId { rows.size() })->row);
         for (auto& node : this->nodes)
--- a/tools/bench-membership/main.cpp
+++ b/tools/bench-membership/main.cpp
@@ -1,5 +1,6 @@
 #include "fleet_p.h"
 
+#include <cmath>
 #include <ctime>
 #include <fmt/format.h>
 #include <malloc.h>
@@ -26,7 +27,7 @@
     if (values.empty())
         return -1;
     std::ranges::sort(values);
-    return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1) + 0.5)];
+    return values[static_cast<std::size_t>(std::lround(part * static_cast<double>(values.size() - 1)))];
 }
 
 struct Steady {
