--- /dev/null
+++ b/tests/processes/failures.cpp
@@ -0,0 +1,152 @@
+#include "fleet.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace processes;
+
+namespace {
+
+constexpr Milliseconds shortDeadline { 3000 };
+constexpr Milliseconds longDeadline { 30'000 };
+
+std::string outcomeOf(const Fetcher::Answer& answer)
+{
+    const auto error = errorOf(answer);
+    return error.substr(error.find('/') + 1);
+}
+
+} // namespace
+
+TEST_CASE("a program runs through the real processes, and its caller's key appears nowhere")
+{
+    Fleet fleet({ "a", "a", "b" });
+    auto program = fleet.begin();
+    REQUIRE(fleet.call(program, "model", "planner", "first", longDeadline).response.status == 200);
+    REQUIRE(fleet.call(program, "call", "charge", "second", longDeadline).response.status == 200);
+    REQUIRE(fleet.call(program, "model", "planner", "third", longDeadline).response.status == 200);
+    REQUIRE(program.turn == 3);
+    REQUIRE(fleet.executions() == std::pair<std::int64_t, std::int64_t> { 1, 1 });
+
+    // A repeated call gets the recorded answer and does not run again.
+    auto earlier = program;
+    earlier.turn = 1;
+    const auto repeated = fleet.call(earlier, "call", "charge", "second", longDeadline);
+    REQUIRE(repeated.response.status == 200);
+    REQUIRE(fleet.executions().first == 1);
+
+    // A call with a wrong digest is refused and says so truthfully.
+    auto wrong = program;
+    wrong.digest = std::string(64, '0');
+    REQUIRE(errorOf(fleet.call(wrong, "call", "charge", "fourth", longDeadline)) == "turn_conflict/not_run");
+
+    const auto stranger
+        = fleet.http.post(fleet.gateway->address(), "/v1/programs", "{}", { { "Authorization", "Bearer other" } });
+    REQUIRE(stranger.response.status == 401);
+    REQUIRE(fleet.everythingVisible().find(Fleet::key) == std::string::npos);
+}
+
+TEST_CASE("an ordinary chat client works with its base URL and key changed")
+{
+    Fleet fleet({ "a" });
+    fleet.begin();
+    const auto answer = fleet.post(
+        "/v1/chat/completions", R"({"model":"planner","messages":[{"role":"user","content":"hello"}],"max_tokens":4})");
+    REQUIRE(answer.response.status == 200);
+    REQUIRE(answer.object().at("choices").as_array().size() == 1);
+    const auto streamed = fleet.post("/v1/chat/completions",
+        R"({"model":"planner","messages":[{"role":"user","content":"hello"}],"max_tokens":4,"stream":true})");
+    REQUIRE(streamed.response.body.find("data: [DONE]") != std::string::npos);
+}
+
+TEST_CASE("a non-idempotent call whose owner is killed while it runs is reported unknown and never runs again")
+{
+    Fleet fleet({ "a", "a", "a" });
+    auto program = fleet.begin();
+    fleet.setFaults(*fleet.service, R"({"mode":"hang"})");
+    auto answer = fleet.callLater(program, "call", "charge", "once", longDeadline);
+    REQUIRE(waitUntil([&] { return fleet.executions().first == 1; }));
+    fleet.ownerOf(program).process().signal(SIGKILL);
+    fleet.setFaults(*fleet.service, R"({"mode":"none"})");
+    REQUIRE(outcomeOf(answer.get()) == "unknown");
+    REQUIRE(waitUntil([&] {
+        auto again = program;
+        return errorOf(fleet.call(again, "call", "charge", "once", shortDeadline)) == "outcome_unknown/unknown";
+    }));
+    REQUIRE(fleet.executions() == std::pair<std::int64_t, std::int64_t> { 1, 1 });
+}
+
+TEST_CASE("an owner that is frozen past its lease and wakes runs nothing twice")
+{
+    Fleet fleet({ "a", "a", "a" });
+    auto program = fleet.begin();
+    REQUIRE(fleet.call(program, "model", "planner", "first", longDeadline).response.status == 200);
+    auto& owner = fleet.ownerOf(program);
+    owner.process().signal(SIGSTOP);
+    auto frozen = fleet.callLater(program, "call", "charge", "once", longDeadline);
+    // Another node takes the partition and answers.
+    REQUIRE(waitUntil(
+        [&] {
+            auto again = program;
+            const auto answer = fleet.call(again, "call", "charge", "once", shortDeadline);
+            return answer.response.status == 200 || errorOf(answer) == "outcome_unknown/unknown";
+        },
+        Seconds(40)));
+    owner.process().signal(SIGCONT);
+    frozen.get();
+    auto next = fleet.begin();
+    REQUIRE(fleet.call(next, "call", "charge", "other", longDeadline).response.status == 200);
+    REQUIRE(fleet.executions().second == 1);
+}
+
+TEST_CASE("with the log down a non-idempotent call is refused as not run, and model calls go on")
+{
+    Fleet fleet({ "a", "a" });
+    auto program = fleet.begin();
+    REQUIRE(fleet.call(program, "call", "charge", "before", longDeadline).response.status == 200);
+    fleet.setFaults(*fleet.log, R"({"outage":"silent"})");
+    REQUIRE(outcomeOf(fleet.call(program, "call", "charge", "during", shortDeadline)) == "not_run");
+    REQUIRE(fleet.executions().first == 1);
+    REQUIRE(fleet.call(program, "model", "planner", "model", longDeadline).response.status == 200);
+    fleet.setFaults(*fleet.log, R"({"outage":"none"})");
+    REQUIRE(waitUntil(
+        [&] { return fleet.call(program, "call", "charge", "during", shortDeadline).response.status == 200; }));
+    REQUIRE(fleet.executions() == std::pair<std::int64_t, std::int64_t> { 2, 1 });
+}
+
+TEST_CASE("a withdrawn key ends the running stream of a connected caller and is refused afterwards")
+{
+    Fleet fleet({ "a", "b" });
+    auto program = fleet.begin();
+    for (const auto& engine : fleet.engines)
+        fleet.setFaults(*engine, R"({"token_us":2000000})");
+    const auto began = RuntimeClock::now();
+    auto running = fleet.callLater(program, "model", "planner", "stream", longDeadline);
+    REQUIRE(waitUntil([&] {
+        return fleet.http.get(fleet.engines[0]->address(), "/state").object().at("running") != json::value(0)
+            || fleet.http.get(fleet.engines[1]->address(), "/state").object().at("running") != json::value(0);
+    }));
+    REQUIRE(fleet.operate({ "key", "withdraw", "main", "--team", "test" }) == 0);
+    REQUIRE(errorOf(running.get()) == "key_withdrawn/unknown");
+    // Eight tokens of two seconds each would have taken sixteen seconds.
+    REQUIRE(RuntimeClock::now() - began < Seconds(12));
+    REQUIRE(waitUntil([&] { return fleet.post("/v1/programs", "{}").response.status == 401; }, Seconds(6)));
+}
+
+TEST_CASE("a planned stop of an owner cuts off no request, and its programs go on elsewhere")
+{
+    Fleet fleet({ "a", "a" });
+    auto program = fleet.begin();
+    fleet.setFaults(*fleet.service, R"({"mode":"slow","slow_ms":1500})");
+    auto& owner = fleet.ownerOf(program);
+    auto running = fleet.callLater(program, "call", "charge", "slow", longDeadline);
+    REQUIRE(waitUntil([&] { return fleet.executions().first == 1; }));
+    owner.process().signal(SIGTERM);
+    const auto answer = running.get();
+    REQUIRE(answer.response.status == 200);
+    program.turn = 1;
+    program.digest = answer.object().at("digest").as_string().c_str();
+    REQUIRE(owner.process().waitForEnd(Seconds(20)) == 0);
+    REQUIRE(fleet.call(program, "model", "planner", "next", longDeadline).response.status == 200);
+    REQUIRE(fleet.executions() == std::pair<std::int64_t, std::int64_t> { 1, 1 });
+}
--- a/tests/processes/fixture.cpp
+++ b/tests/processes/fixture.cpp
@@ -134,11 +134,11 @@
 Server::Server(const TemporaryFolder& folder, const std::string& binary, std::vector<std::string> arguments)
 {
     static std::atomic<int> counter = 0;
-    const auto portFile = folder.path("port-" + std::to_string(++counter));
-    arguments.insert(arguments.end(), { "--port-file", portFile });
+    this->portFile = folder.path("port-" + std::to_string(++counter));
+    arguments.insert(arguments.end(), { "--port-file", this->portFile });
     this->running = std::make_unique<Process>(folder, binary, std::move(arguments));
-    waitUntil([&] { return std::filesystem::exists(portFile) || !this->running->isRunning(); });
-    auto text = readFile(portFile);
+    waitUntil([&] { return std::filesystem::exists(this->portFile) || !this->running->isRunning(); });
+    auto text = readFile(this->portFile);
     text.erase(std::remove(text.begin(), text.end(), '\n'), text.end());
     const auto address = Address::parse(text);
     if (!address)
@@ -146,6 +146,13 @@
     this->bound = *address;
 }
 
+Address Server::companion(const std::string& name) const
+{
+    auto text = readFile(this->portFile + "." + name);
+    text.erase(std::remove(text.begin(), text.end(), '\n'), text.end());
+    return Address::parse(text).value_or(Address {});
+}
+
 json::object Fetcher::Answer::object() const
 {
     boost::system::error_code error;
--- a/tests/processes/fixture.h
+++ b/tests/processes/fixture.h
@@ -69,11 +69,14 @@
     Server(const TemporaryFolder& folder, const std::string& binary, std::vector<std::string> arguments = {});
 
     const Address& address() const { return this->bound; }
+    /// Returns an address that the binary writes to a companion of the port file, for example `admin`.
+    Address companion(const std::string& name) const;
     Process& process() { return *this->running; }
 
 private:
     std::unique_ptr<Process> running {};
     Address bound {};
+    std::string portFile {};
 };
 
 /// HTTP client of the test process.
--- a/tools/peridot-scheduler/main.cpp
+++ b/tools/peridot-scheduler/main.cpp
@@ -19,8 +19,7 @@
     try {
         Runtime runtime({ init.threads });
         Scheduler service(runtime, init);
-        log(LogLevel::Info, "listening",
-            { { "address", service.address().toString() }, { "admin", service.adminAddress().toString() } });
+        announce(options, service);
         runUntilDrained(runtime, service);
     } catch (const std::system_error& error) {
         log(LogLevel::Error, "cannot start", { { "reason", error.what() } });
--- a/tools/service_p.h
+++ b/tools/service_p.h
@@ -16,6 +16,7 @@
     std::string settings;
     std::string logLevel = "info";
     bool checkOnly = false;
+    std::string portFile;
 };
 
 inline void addServiceOptions(CLI::App& app, ServiceOptions& options)
@@ -24,6 +25,8 @@
     app.add_option("--settings", options.settings, "INI settings file")->required()->check(CLI::ExistingFile);
     app.add_option("--log-level", options.logLevel, "debug, info, warning or error")
         ->check(CLI::IsMember({ "debug", "info", "warning", "error" }));
+    app.add_option("--port-file", options.portFile,
+        "File to which the bound address is written; FILE.admin gets the admin address");
     app.add_flag("--check", options.checkOnly, "Check the settings and exit");
 }
 
@@ -41,6 +44,27 @@
     return problems.empty();
 }
 
+/// Writes an address to a file in one step, so that a reader never sees a part of it.
+inline void writeAddress(const std::string& file, const Address& address)
+{
+    const auto temporary = file + ".new";
+    std::ofstream(temporary) << address.toString() << '\n';
+    std::rename(temporary.c_str(), file.c_str());
+}
+
+/// Writes the bound addresses to the port file and its companions, the main address last.
+template <typename Service> void announce(const ServiceOptions& options, const Service& service)
+{
+    log(LogLevel::Info, "listening",
+        { { "address", service.address().toString() }, { "admin", service.adminAddress().toString() } });
+    if (options.portFile.empty())
+        return;
+    writeAddress(options.portFile + ".admin", service.adminAddress());
+    if constexpr (requires { service.gossipAddress(); })
+        writeAddress(options.portFile + ".gossip", service.gossipAddress());
+    writeAddress(options.portFile, service.address());
+}
+
 /// Runs a service until SIGTERM or SIGINT has drained it; SIGUSR1 writes its state to standard error.
 template <typename Service> void runUntilDrained(Runtime& runtime, Service& service)
 {
