Widen the size limits of HttpServer before multiplying

Cause: lint reports the int products in include/peridotramp/runtime.h as errors in every file that includes it. Change: the products are std::size_t from the start. Result: lint no longer reports runtime.h; src/runtime/*.cpp and programs.h:181 keep findings of their own.

--- a/include/peridotramp/runtime.h
+++ b/include/peridotramp/runtime.h
@@ -113,10 +113,10 @@
     struct Init {
         /// Port 0 lets the kernel choose.
         Address listen { "127.0.0.1", 0 };
-        std::size_t maxHeaderBytes = 16 * 1024;
-        std::size_t maxBodyBytes = 8 * 1024 * 1024;
+        std::size_t maxHeaderBytes = std::size_t { 16 } * 1024;
+        std::size_t maxBodyBytes = std::size_t { 8 } * 1024 * 1024;
         /// Unsent bytes of one response beyond which the caller counts as too slow and is disconnected.
-        std::size_t maxPendingBytes = 4 * 1024 * 1024;
+        std::size_t maxPendingBytes = std::size_t { 4 } * 1024 * 1024;
         std::size_t maxConnections = 10'000;
         /// Time that a connection may take to send a request.
         Seconds readTimeout { 60 };
