--- a/include/peridotramp/platform.h
+++ b/include/peridotramp/platform.h
@@ -75,6 +75,9 @@
 /// Converts a read of the configuration stream that began at `from`; records that cannot be decoded are left out.
 ConfigurationRead toConfigurationRead(Offset from, const LogRead& read);
 
+/// Longest encoded group that is read.
+constexpr std::size_t maxRecordBytes = 4 * 1024 * 1024;
+
 /// Encodes a group of records of a partition's stream.
 std::string encodeGroup(const RecordGroup& group);
 /// Decodes a group of records. Errors: `MalformedFrame`.
--- /dev/null
+++ b/src/decisions/grants/loans.cpp
@@ -0,0 +1,242 @@
+#include "grants_p.h"
+
+#include <algorithm>
+
+namespace peridotramp {
+
+namespace {
+
+// Loans below this part of the lender's base share are not worth a message.
+constexpr double leastPart = 0.01;
+// A need that has grown by this factor is asked for before the renewal.
+constexpr double growth = 1.2;
+// A need that has fallen below this part is returned before the renewal.
+constexpr double shrinkage = 0.6;
+// Time for which the last answer of a lender tells what it can spare.
+constexpr Duration hintLife = Seconds(1);
+constexpr Duration leastBetweenRequests = Milliseconds(100);
+
+} // namespace
+
+GrantTable::State::Need GrantTable::State::needOf(TimePoint now, const Bucket& bucket) const
+{
+    const auto limit = this->limitOf(bucket.key);
+    const auto& limits = this->init.limits;
+    const auto demand = bucket.demandAt(now, limits.demandWindow) * limits.demandHeadroom;
+    Need need;
+    need.rate = std::clamp(demand - bucket.base.rate, 0.0, std::max(0.0, limit.rate - bucket.base.rate));
+    // The burst follows the rate; a request that could not be served asks for what it lacks.
+    if (bucket.base.rate > 0)
+        need.burst = bucket.base.burst * need.rate / bucket.base.rate;
+    if (now < bucket.unmetUntil) {
+        const auto lacking = static_cast<double>(std::max(bucket.unmet, bucket.queue.total())) - bucket.level;
+        need.burst = std::max(need.burst, lacking);
+    }
+    need.burst = std::clamp(need.burst, 0.0, std::max(0.0, limit.burst - bucket.base.burst));
+    return need;
+}
+
+bool GrantTable::State::isDue(TimePoint now, const Borrowing& loan, const Need& part) const
+{
+    const auto& limits = this->init.limits;
+    const bool wanted = part.rate > 0 || part.burst > 0;
+    if (loan.lastTerm == 0)
+        return wanted;
+    const auto age = now - loan.requestedAt;
+    if (loan.outstanding)
+        return wanted && age >= limits.loanRetry;
+    if (age < leastBetweenRequests || (!wanted && loan.terms.empty()))
+        return false;
+    const bool grown = part.rate > growth * loan.askedRate || part.burst > growth * loan.askedBurst;
+    const bool hasSpare = loan.spareRate > 0 || loan.spareBurst > 0;
+    if (grown && hasSpare)
+        return true;
+    if (loan.terms.empty())
+        return age >= limits.lenderPause;
+    const bool shrunk = part.rate < shrinkage * loan.terms.rate() && part.burst < shrinkage * loan.terms.burst();
+    return shrunk || age >= limits.renewAfter;
+}
+
+GrantTable::State::Need GrantTable::State::capacityOf(TimePoint now, const Bucket& bucket, DomainId lender) const
+{
+    const auto found = bucket.borrowed.find(lender);
+    const auto& base = bucket.base;
+    const auto most = this->shares.at(lender).out ? 1 : 1 - this->init.limits.keptShare;
+    if (found == bucket.borrowed.end())
+        return { base.rate * most, base.burst * most };
+    const auto& loan = found->second;
+    const Need held { loan.terms.rate(), loan.terms.burst() };
+    if (loan.hintKnown && now - loan.requestedAt < hintLife)
+        return { loan.spareRate + held.rate, loan.spareBurst + held.burst };
+    return { std::max(held.rate, base.rate * most), std::max(held.burst, base.burst * most) };
+}
+
+LoanRequest GrantTable::State::ask(TimePoint now, Bucket& bucket, DomainId lender, const Need& part)
+{
+    auto& loan = bucket.borrowed[lender];
+    if (!loan.loan.isValid())
+        loan.loan = LoanId { this->nextId() };
+    ++loan.lastTerm;
+    loan.requestedAt = now;
+    loan.outstanding = part.rate > 0 || part.burst > 0;
+    loan.askedRate = part.rate;
+    loan.askedBurst = part.burst;
+    loan.terms.limit(part.rate, part.burst);
+    const auto before = bucket.level;
+    bucket.recompute();
+    ++this->stats.loanRequests;
+    const BucketKey asked { bucket.key.workspace, lender, bucket.key.kind };
+    return { asked, bucket.key.domain, loan.loan, loan.lastTerm, part.rate, part.burst, before - bucket.level };
+}
+
+void GrantTable::State::plan(TimePoint now, Bucket& bucket, std::vector<LoanRequest>& out)
+{
+    const auto own = this->shares.find(bucket.key.domain);
+    const bool canAct = now >= bucket.lease.from && now < bucket.lease.until;
+    if (!canAct || own == this->shares.end() || !own->second.listed)
+        return;
+    auto need = own->second.out ? Need {} : this->needOf(now, bucket);
+    if (need.rate <= 0 && need.burst <= 0 && bucket.borrowed.empty())
+        return;
+    // Few lenders with much to spare cost fewer messages than a little from each.
+    std::vector<std::pair<Need, DomainId>> lenders;
+    for (const auto& [domain, share] : this->shares) {
+        if (share.listed && domain != bucket.key.domain)
+            lenders.emplace_back(this->capacityOf(now, bucket, domain), domain);
+    }
+    std::ranges::sort(lenders, std::greater {}, [&](const auto& lender) {
+        const auto& [capacity, domain] = lender;
+        return std::pair(capacity.rate + capacity.burst, hashOf({ bucket.key.workspace, domain, bucket.key.kind }));
+    });
+    for (const auto& [capacity, domain] : lenders) {
+        const Need part { std::min(need.rate, capacity.rate), std::min(need.burst, capacity.burst) };
+        need.rate -= part.rate;
+        need.burst -= part.burst;
+        const auto loan = bucket.borrowed.find(domain);
+        const bool isDue
+            = loan == bucket.borrowed.end() ? part.rate > 0 || part.burst > 0 : this->isDue(now, loan->second, part);
+        if (isDue)
+            out.push_back(this->ask(now, bucket, domain, part));
+    }
+}
+
+std::vector<LoanRequest> GrantTable::tick(TimePoint now)
+{
+    auto& own = *this->state;
+    own.raiseShares(now);
+    std::vector<LoanRequest> out;
+    for (auto& [key, bucket] : own.buckets) {
+        bucket.advance(now);
+        std::erase_if(
+            bucket.lent, [now](const auto& entry) { return entry.second.terms.empty() && entry.second.forget <= now; });
+        own.plan(now, bucket, out);
+    }
+    return out;
+}
+
+GrantTable::State::Need GrantTable::State::spareOf(TimePoint now, const Bucket& bucket, const LenderKey& except) const
+{
+    const auto share = this->shares.find(bucket.key.domain);
+    if (share == this->shares.end() || !share->second.listed)
+        return {};
+    const auto& limits = this->init.limits;
+    const auto& base = bucket.base;
+    const bool out = share->second.out;
+    if (!out && !bucket.queue.empty())
+        return {};
+    const auto demand = bucket.demandAt(now, limits.demandWindow) * limits.demandHeadroom;
+    const auto used = base.rate > 0 ? demand / base.rate : 1;
+    const auto kept = out ? 0 : std::clamp(used, limits.keptShare, 1.0);
+    Need spare { base.rate * (1 - kept) - bucket.lentRate(), base.burst * (1 - kept) - bucket.lentBurst() };
+    if (const auto loan = bucket.lent.find(except); loan != bucket.lent.end()) {
+        spare.rate += loan->second.terms.rate();
+        spare.burst += loan->second.terms.burst();
+    }
+    return { std::max(0.0, spare.rate), std::max(0.0, spare.burst) };
+}
+
+void GrantTable::State::takeBack(Bucket& bucket, LentLoan& loan, const LoanRequest& request)
+{
+    const auto before = loan.terms.burst();
+    loan.terms.limit(request.rate, request.burst);
+    const auto freed = before - loan.terms.burst();
+    bucket.recompute();
+    // The returned level is covered by burst that this bucket has kept free for it. Once the loan has ended, the bucket
+    // may have filled that part again.
+    bucket.putIn(std::clamp(request.level, 0.0, freed));
+}
+
+LoanReply GrantTable::lend(TimePoint now, const LoanRequest& request)
+{
+    auto& own = *this->state;
+    const auto& limits = own.init.limits;
+    const BucketKey borrower { request.bucket.workspace, request.borrower, request.bucket.kind };
+    LoanReply reply { borrower, request.bucket.domain, request.loan, request.term };
+    auto* bucket = own.reach(now, request.bucket);
+    const auto share = own.shares.find(request.borrower);
+    const bool isKnown = share != own.shares.end() && share->second.listed && request.borrower != request.bucket.domain;
+    if (!bucket || !isKnown || now < bucket->lease.from || now >= bucket->lease.until)
+        return reply;
+    const LenderKey key { request.borrower, request.loan };
+    auto& loan = bucket->lent[key];
+    if (request.term == loan.lastTerm && loan.lastReply.term == request.term)
+        return loan.lastReply;
+    loan.forget = now + 2 * limits.loan;
+    if (request.term <= loan.lastTerm)
+        return reply;
+    loan.lastTerm = request.term;
+    State::takeBack(*bucket, loan, request);
+    // A successor knows nothing of this loan, so the borrower must be done with it when the own lease ends.
+    if (now + limits.loan > bucket->lease.until)
+        return reply;
+    const auto spare = own.spareOf(now, *bucket, key);
+    reply.rate = std::clamp(request.rate, 0.0, spare.rate);
+    reply.burst = std::clamp(request.burst, 0.0, spare.burst);
+    reply.spareRate = spare.rate - reply.rate;
+    reply.spareBurst = spare.burst - reply.burst;
+    const bool isWorthwhile
+        = reply.rate >= leastPart * bucket->base.rate || reply.burst >= leastPart * bucket->base.burst;
+    if (!isWorthwhile || (reply.rate <= 0 && reply.burst <= 0)) {
+        reply.rate = reply.burst = 0;
+        ++own.stats.loansRefused;
+    } else {
+        // The level moves with the burst that the borrower does not hold yet.
+        const auto moved = std::max(0.0, reply.burst - loan.terms.burst());
+        if (bucket->burst > 0)
+            reply.level = std::min(moved, std::max(0.0, bucket->level) * std::min(1.0, moved / bucket->burst));
+        bucket->level -= reply.level;
+        loan.terms.add({ request.term, reply.rate, reply.burst, now + limits.loan + limits.loanMargin });
+        bucket->recompute();
+        ++own.stats.loansGranted;
+    }
+    loan.lastReply = reply;
+    return reply;
+}
+
+void GrantTable::acceptLoan(TimePoint now, const LoanReply& reply)
+{
+    auto& own = *this->state;
+    auto* bucket = own.reach(now, reply.bucket);
+    const auto found = bucket ? bucket->borrowed.find(reply.lender) : std::map<DomainId, Borrowing>::iterator {};
+    const bool isExpected = bucket && found != bucket->borrowed.end() && found->second.loan == reply.loan
+        && found->second.outstanding && found->second.lastTerm == reply.term;
+    // The borrower's own time of the request bounds the loan, whatever happened to the messages.
+    const auto end = isExpected ? found->second.requestedAt + own.init.limits.loan : TimePoint::min();
+    if (now >= end) {
+        ++own.stats.repliesIgnored;
+        return;
+    }
+    auto& loan = found->second;
+    loan.outstanding = false;
+    loan.hintKnown = true;
+    loan.spareRate = reply.spareRate;
+    loan.spareBurst = reply.spareBurst;
+    if (reply.rate <= 0 && reply.burst <= 0)
+        return;
+    loan.terms.add({ reply.term, reply.rate, reply.burst, end });
+    bucket->recompute();
+    bucket->putIn(reply.level);
+    ++own.stats.loansAccepted;
+}
+
+} // namespace peridotramp
