--- a/src/scheduler/run.cpp
+++ b/src/scheduler/run.cpp
@@ -181,7 +181,9 @@
         if (found.empty())
             return;
         auto& call = found.mapped();
-        auto finished = state->programs.finishCall(RuntimeClock::now(), key.program, key.call, call.attempt, result);
+        const auto now = RuntimeClock::now();
+        auto finished = state->programs.finishCall(
+            now, key.program, key.call, call.attempt, result, node.authorityOf(*state, now));
         Message message = ErrorMessage { error, {}, {} };
         if (finished) {
             static_cast<void>(pushRecords(*state, std::move(finished.value().records)));
