--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -240,9 +240,9 @@
 public:
     struct Init {
         Address listen { "127.0.0.1", 0 };
-        std::size_t maxFrameBytes = 4 * 1024 * 1024;
+        std::size_t maxFrameBytes = std::size_t { 4 } * 1024 * 1024;
         /// Unsent bytes of one connection beyond which it is closed.
-        std::size_t maxPendingBytes = 64 * 1024 * 1024;
+        std::size_t maxPendingBytes = std::size_t { 64 } * 1024 * 1024;
     };
     using Handler = std::function<void(Message, RpcReply)>;
 
@@ -267,7 +267,7 @@
 public:
     struct Init {
         Milliseconds connectTimeout { 1000 };
-        std::size_t maxFrameBytes = 4 * 1024 * 1024;
+        std::size_t maxFrameBytes = std::size_t { 4 } * 1024 * 1024;
         CutHook isCut {};
     };
     /// Called for each message of the answer, or once with an error. `last` is true in the last call.
--- a/include/peridotramp/platform.h
+++ b/include/peridotramp/platform.h
@@ -76,7 +76,7 @@
 ConfigurationRead toConfigurationRead(Offset from, const LogRead& read);
 
 /// Longest encoded group that is read.
-constexpr std::size_t maxRecordBytes = 4 * 1024 * 1024;
+constexpr std::size_t maxRecordBytes = std::size_t { 4 } * 1024 * 1024;
 
 /// Encodes a group of records of a partition's stream.
 std::string encodeGroup(const RecordGroup& group);
--- a/src/gateway/follow.cpp
+++ b/src/gateway/follow.cpp
@@ -64,7 +64,7 @@
 GatewayState::GatewayState(Runtime& runtime, GatewayInit settings)
     : init(std::move(settings))
     , runtime(runtime)
-    , rpc(runtime, { Milliseconds(500), 4 * 1024 * 1024, {} })
+    , rpc(runtime, { Milliseconds(500), std::size_t { 4 } * 1024 * 1024, {} })
     , serials(hashBytes(this->init.listen.toString(),
           static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count())))
 {
--- a/src/nodes/connection_p.h
+++ b/src/nodes/connection_p.h
@@ -13,8 +13,8 @@
 class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
 public:
     struct Limits {
-        std::size_t maxFrameBytes = 4 * 1024 * 1024;
-        std::size_t maxPendingBytes = 64 * 1024 * 1024;
+        std::size_t maxFrameBytes = std::size_t { 4 } * 1024 * 1024;
+        std::size_t maxPendingBytes = std::size_t { 64 } * 1024 * 1024;
     };
     struct Hooks {
         std::function<void(Frame)> onFrame;
--- a/src/nodes/datagram.cpp
+++ b/src/nodes/datagram.cpp
@@ -19,7 +19,7 @@
     asio::ip::udp::socket socket;
     Address bound;
     std::atomic<bool> stopping = false;
-    std::array<char, 64 * 1024> buffer {};
+    std::array<char, std::size_t { 64 } * 1024> buffer {};
 };
 
 asio::awaitable<void> DatagramSocket::Impl::receive([[maybe_unused]] std::shared_ptr<Impl> self)
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -107,7 +107,7 @@
 asio::awaitable<boost::system::error_code> HttpClient::Call::State::readBody(
     http::response_parser<http::buffer_body>& parser, beast::flat_buffer& buffer)
 {
-    std::array<char, 16 * 1024> block {};
+    std::array<char, std::size_t { 16 } * 1024> block {};
     while (!parser.is_done()) {
         parser.get().body().data = block.data();
         parser.get().body().size = block.size();
--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -77,7 +77,7 @@
             domains[index % domains.size()], this->engines[index]->address().toString());
     }
     text += fmt::format("[endpoint deposits]\ndomain = {}\naddress = {}\nkind = service\nslots = 8\n\n"
-                        "[call charge]\nidempotent = false\nendpoints = deposits\ndeadline_ms = 40000\n",
+                        "[call charge]\nidempotent = false\nendpoint = deposits\ndeadline_ms = 40000\n",
         domains.front(), this->service->address().toString());
     this->folder.write("team.ini", text);
 }
