Declare the period of the fake fleet once

Cause: two files of tools/measure held the same constant. Change: it lives in fleet.h. Result: tools/measure builds; behaviour is unchanged by construction.

--- a/tools/measure/fleet.cpp
+++ b/tools/measure/fleet.cpp
@@ -17,7 +17,6 @@
 // Hops between entry instances; the policy also asks the endpoint's owner for a permit.
 constexpr double baselineHop = 0.002;
 constexpr double policyHop = 0.006;
-constexpr double tickEvery = 0.25;
 constexpr double drainTime = 1200;
 constexpr double serviceGain = 0.1;
 
--- a/tools/measure/fleet.h
+++ b/tools/measure/fleet.h
@@ -7,6 +7,9 @@
 
 namespace measure {
 
+/// Seconds between two rounds of housekeeping in the fake fleet.
+inline constexpr double tickEvery = 0.25;
+
 struct RunResult {
     /// Seconds of the programs of workspaces within their grant, and of those that ended while the domain moved.
     std::vector<double> latencies {};
--- a/tools/measure/moves.cpp
+++ b/tools/measure/moves.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr DomainId movingDomain { 0 };
-constexpr double tickEvery = 0.25;
 constexpr double reportLag = 1;
 constexpr std::uint64_t lostEventBatches = 20;
 constexpr double orderDelay = 0.05;
