Test failures through the real processes; bind results to the attempt of a call

The new log-outage test failed: after a call was given up at its deadline and sent again under the same id, the late read-back of the first attempt's claim ended the second attempt as unknown, for good. Ruled out: a lost partition (the log lines show one epoch) and an execution (the service counted none). Claims and endpoint results now carry the attempt that they belong to.

--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -133,14 +133,15 @@
     Actions actions;
     node.withPartition(partitionOf(key.program), [&](PartitionState* state) {
         const auto found = state ? state->calls.find(key) : std::map<CallKey, RunningCall>::iterator {};
-        if (!state || found == state->calls.end() || !found->second.claimPending)
+        // A claim of an earlier attempt can be read back after its call was given up and sent again.
+        if (!state || found == state->calls.end() || !found->second.claimPending || found->second.attempt != attempt)
             return;
         auto decision
             = state->programs.claimResolved(now, key.program, key.call, attempt, fate, node.authorityOf(*state, now));
         if (auto* dispatch = std::get_if<DispatchNow>(&decision)) {
             found->second.claimPending = false;
             static_cast<void>(pushRecords(*state, std::move(dispatch->records)));
-            actions.push_back([&node, key] { dispatchCall(node, key); });
+            actions.push_back([&node, key, attempt] { dispatchCall(node, { key, attempt }); });
             return;
         }
         // The fate is not known yet; the caller's deadline decides.
@@ -180,7 +181,7 @@
     if (auto* dispatch = std::get_if<DispatchNow>(&decision)) {
         call.attempt = dispatch->attempt;
         static_cast<void>(pushRecords(state, std::move(dispatch->records)));
-        actions.push_back([&node, key] { dispatchCall(node, key); });
+        actions.push_back([&node, run = CallRun { key, call.attempt }] { dispatchCall(node, run); });
     } else if (auto* claim = std::get_if<ClaimFirst>(&decision)) {
         call.attempt = claim->attempt;
         call.claimPending = true;
--- a/src/scheduler/node.cpp
+++ b/src/scheduler/node.cpp
@@ -24,7 +24,8 @@
     , incarnation(newIncarnation())
     , startedAt(RuntimeClock::now())
     , rpc(runtime,
-          { Milliseconds(500), std::size_t { 4 } * 1024 * 1024, [this](const Address& address) { return this->isCut(address); } })
+          { Milliseconds(500), std::size_t { 4 } * 1024 * 1024,
+              [this](const Address& address) { return this->isCut(address); } })
     , http(runtime)
     , log(runtime, { this->init.log, Milliseconds(2000), this->init.name })
     , endpoints(runtime)
--- a/src/scheduler/node_p.h
+++ b/src/scheduler/node_p.h
@@ -29,6 +29,12 @@
     auto operator<=>(const CallKey&) const = default;
 };
 
+/// One attempt of a call. A late result of an earlier attempt must not end a later one.
+struct CallRun {
+    CallKey id;
+    AttemptNumber attempt;
+};
+
 /// A request that waits for the answer of a call.
 struct Waiter {
     std::uint64_t id = 0;
@@ -239,9 +245,9 @@
 
 // run.cpp
 /// Takes the permits of an admitted call and dispatches it.
-void dispatchCall(Node& node, CallKey key);
+void dispatchCall(Node& node, const CallRun& key);
 /// Ends a call that did not run.
-void refuseCall(Node& node, CallKey key, const Error& error);
+void refuseCall(Node& node, const CallRun& key, const Error& error);
 
 // admin.cpp
 void startAdmin(Node& node);
--- a/src/scheduler/run.cpp
+++ b/src/scheduler/run.cpp
@@ -12,11 +12,11 @@
 using Calls = std::map<CallKey, RunningCall>;
 
 // Calls `function` with the running call under its shard lock; returns false when it has ended.
-template <typename Function> bool withCall(Node& node, CallKey key, Function&& function)
+template <typename Function> bool withCall(Node& node, const CallRun& key, Function&& function)
 {
-    return node.withPartition(partitionOf(key.program), [&](PartitionState* state) {
-        const auto found = state ? state->calls.find(key) : Calls::iterator {};
-        if (!state || found == state->calls.end())
+    return node.withPartition(partitionOf(key.id.program), [&](PartitionState* state) {
+        const auto found = state ? state->calls.find(key.id) : Calls::iterator {};
+        if (!state || found == state->calls.end() || found->second.attempt != key.attempt)
             return false;
         function(*state, found->second);
         return true;
@@ -75,16 +75,16 @@
     return std::nullopt;
 }
 
-void askForSlot(Node& node, CallKey key);
+void askForSlot(Node& node, const CallRun& key);
 
-void askForRate(Node& node, CallKey key, GrantKind kind, GrantAmount amount, std::function<void()> next)
+void askForRate(Node& node, const CallRun& key, GrantKind kind, GrantAmount amount, std::function<void()> next)
 {
     RatePermitRequest request;
     TimePoint deadline;
     const bool found = withCall(node, key, [&](PartitionState&, RunningCall& call) {
         const auto left = std::chrono::duration_cast<Milliseconds>(call.deadline - RuntimeClock::now());
-        request
-            = { { call.message.caller.workspace, node.domain, kind }, amount, GrantSource { key.program.value }, left };
+        request = { { call.message.caller.workspace, node.domain, kind }, amount, GrantSource { key.id.program.value },
+            left };
         deadline = call.deadline;
     });
     if (!found)
@@ -132,7 +132,7 @@
 
 /// Everything that one attempt on an endpoint needs when it ends.
 struct Attempt {
-    CallKey key;
+    CallRun key;
     SlotRequest request;
     SlotReply slot;
     std::shared_ptr<WriteGuard> guard = std::make_shared<WriteGuard>();
@@ -172,18 +172,19 @@
 }
 
 // Ends a call and answers its waiters: with the completed turn, or with `error`.
-void finish(Node& node, CallKey key, const CallResult& result, const EndpointAnswer& answer, const Error& error)
+void finish(Node& node, const CallRun& key, const CallResult& result, const EndpointAnswer& answer, const Error& error)
 {
     Actions actions;
-    const auto partition = partitionOf(key.program);
+    const auto partition = partitionOf(key.id.program);
     node.withPartition(partition, [&](PartitionState* state) {
-        auto found = state ? state->calls.extract(key) : Calls::node_type {};
-        if (found.empty())
+        const auto running = state ? state->calls.find(key.id) : Calls::iterator {};
+        if (!state || running == state->calls.end() || running->second.attempt != key.attempt)
             return;
+        auto found = state->calls.extract(running);
         auto& call = found.mapped();
         const auto now = RuntimeClock::now();
         auto finished = state->programs.finishCall(
-            now, key.program, key.call, call.attempt, result, node.authorityOf(*state, now));
+            now, key.id.program, key.id.call, call.attempt, result, node.authorityOf(*state, now));
         auto reported = error;
         if (finished)
             reported.outcome = finished->outcome;
@@ -238,7 +239,7 @@
     finish(node, attempt.key, unknown, answer, { kind, Outcome::Unknown, "", Milliseconds(500) });
 }
 
-void forwardToken(Node& node, CallKey key, std::string_view token)
+void forwardToken(Node& node, const CallRun& key, std::string_view token)
 {
     std::vector<Responder> responders;
     withCall(node, key, [&](PartitionState&, RunningCall& call) {
@@ -256,7 +257,7 @@
     if (call.message.target == CallTarget::Service)
         return node.endpoints.run(
             { attempt.slot.address, call.message.name, call.message.call, call.message.input, left }, std::move(onEnd));
-    EngineCall engine { attempt.slot.address, attempt.key.program, attempt.key.call, call.message.turn,
+    EngineCall engine { attempt.slot.address, attempt.key.id.program, attempt.key.id.call, call.message.turn,
         call.message.name, call.prompt, call.promptTokens, call.message.maxTokens, left };
     return node.endpoints.complete(
         engine, [&node, key = attempt.key](std::string_view token) { forwardToken(node, key, token); },
@@ -278,7 +279,7 @@
 }
 
 // Keeps the handle of the running request; a cancellation that came in between takes effect now.
-void keepHandle(Node& node, CallKey key, const HttpClient::Call& http)
+void keepHandle(Node& node, const CallRun& key, const HttpClient::Call& http)
 {
     bool cancelled = false;
     withCall(node, key, [&](PartitionState&, RunningCall& call) {
@@ -289,14 +290,14 @@
         http.cancel();
 }
 
-void beginAttempt(Node& node, CallKey key, const SlotRequest& request, const SlotReply& slot)
+void beginAttempt(Node& node, const CallRun& key, const SlotRequest& request, const SlotReply& slot)
 {
     const Attempt attempt { key, request, slot };
     std::optional<Error> stop;
     RunningCall snapshot;
     const bool found = withCall(node, key, [&](PartitionState& state, RunningCall& call) {
         stop = stopReason(state, call, RuntimeClock::now());
-        state.groupsUsed[key.program].insert({ request.domain, { request.team, request.name } });
+        state.groupsUsed[key.id.program].insert({ request.domain, { request.team, request.name } });
         snapshot = snapshotOf(call);
     });
     if (found && !stop)
@@ -308,7 +309,7 @@
         refuseCall(node, key, *stop);
 }
 
-void askForSlot(Node& node, CallKey key)
+void askForSlot(Node& node, const CallRun& key)
 {
     RunningCall snapshot;
     const bool found = withCall(node, key, [&](PartitionState&, RunningCall& call) { snapshot = snapshotOf(call); });
@@ -331,7 +332,7 @@
 
 } // namespace
 
-void refuseCall(Node& node, CallKey key, const Error& error)
+void refuseCall(Node& node, const CallRun& key, const Error& error)
 {
     // Nothing has been written to an endpoint on this path: earlier attempts were proved not run or were idempotent.
     bool attempted = false;
@@ -344,7 +345,7 @@
     finish(node, key, CallNotRun { proof }, {}, notRun(proof, error.kind, error.detail, error.retryAfter));
 }
 
-void dispatchCall(Node& node, CallKey key)
+void dispatchCall(Node& node, const CallRun& key)
 {
     GrantAmount tokens;
     const bool found = withCall(node, key, [&](PartitionState&, RunningCall& call) {
--- a/tests/processes/failures.cpp
+++ b/tests/processes/failures.cpp
@@ -109,8 +109,14 @@
     REQUIRE(fleet.executions().first == 1);
     REQUIRE(fleet.call(program, "model", "planner", "model", longDeadline).response.status == 200);
     fleet.setFaults(*fleet.log, R"({"outage":"none"})");
-    REQUIRE(waitUntil(
-        [&] { return fleet.call(program, "call", "charge", "during", shortDeadline).response.status == 200; }));
+    std::string last;
+    const bool ran = waitUntil([&] {
+        const auto answer = fleet.call(program, "call", "charge", "during", shortDeadline);
+        last = answer.response.body;
+        return answer.response.status == 200;
+    });
+    INFO(last << " executions " << fleet.executions().first);
+    REQUIRE(ran);
     REQUIRE(fleet.executions() == std::pair<std::int64_t, std::int64_t> { 2, 1 });
 }
 
@@ -126,7 +132,7 @@
         return fleet.http.get(fleet.engines[0]->address(), "/state").object().at("running") != json::value(0)
             || fleet.http.get(fleet.engines[1]->address(), "/state").object().at("running") != json::value(0);
     }));
-    REQUIRE(fleet.operate({ "key", "withdraw", "main", "--team", "test" }) == 0);
+    REQUIRE(fleet.operate({ "key", "withdraw", "test", "main" }) == 0);
     REQUIRE(errorOf(running.get()) == "key_withdrawn/unknown");
     // Eight tokens of two seconds each would have taken sixteen seconds.
     REQUIRE(RuntimeClock::now() - began < Seconds(12));
