--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -11,6 +11,12 @@
 
 namespace peridotramp {
 
+/// Partitions of a failure domain are numbered from its index times this.
+constexpr std::uint64_t partitionsPerDomainLimit = 256;
+
+/// Returns the failure domain to which a partition belongs.
+constexpr DomainId domainOf(PartitionId partition) { return { partition.value / partitionsPerDomainLimit }; }
+
 /// Whether a call goes to a model engine or to a plain service.
 enum class CallTarget : std::uint8_t { Model, Service, Count };
 
--- a/src/gateway/follow.cpp
+++ b/src/gateway/follow.cpp
@@ -115,7 +115,6 @@
 
 std::vector<PartitionId> GatewayState::partitionsForNewPrograms()
 {
-    constexpr std::uint64_t partitionsPerDomainLimit = 256;
     const auto current = this->configurationNow();
     const auto usable = [&](std::uint64_t domain) {
         const auto* entry = current ? current->findDomain(DomainId { domain }) : nullptr;
@@ -126,10 +125,10 @@
     std::vector<PartitionId> local;
     std::vector<PartitionId> other;
     for (const auto& [partition, owner] : owners) {
-        const auto domain = partition.value / partitionsPerDomainLimit;
-        if (!usable(domain) || !this->ownerOf(partition))
+        const auto domain = domainOf(partition);
+        if (!usable(domain.value) || !this->ownerOf(partition))
             continue;
-        (domain == own.value ? local : other).push_back(partition);
+        (domain == own ? local : other).push_back(partition);
     }
     return local.empty() ? other : local;
 }
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -52,8 +52,8 @@
 // relay.cpp
 /// Sends a message to the owner of a partition and chases a changed owner until the deadline. Nothing is repeated that
 /// may have been taken.
-void askPartition(
-    GatewayState& gateway, PartitionId partition, Message message, TimePoint deadline, RpcClient::AnswerHook hook);
+void askPartition(GatewayState& gateway, PartitionId partition, const Message& message, TimePoint deadline,
+    RpcClient::AnswerHook hook);
 
 /// A call on its way through the gateway.
 struct CallRelay {
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -34,8 +34,8 @@
 
 } // namespace
 
-void askPartition(
-    GatewayState& gateway, PartitionId partition, Message message, TimePoint deadline, RpcClient::AnswerHook hook)
+void askPartition(GatewayState& gateway, PartitionId partition, const Message& message, TimePoint deadline,
+    RpcClient::AnswerHook hook)
 {
     const auto owner = gateway.ownerOf(partition);
     const auto address = owner ? *owner : gateway.anyScheduler(gateway.nextSerial());
--- a/src/nodes/connection.cpp
+++ b/src/nodes/connection.cpp
@@ -64,7 +64,7 @@
 void FrameConnection::closeNow()
 {
     boost::system::error_code ignored;
-    this->socket.close(ignored);
+    static_cast<void>(this->socket.close(ignored));
     if (this->closed.exchange(true))
         return;
     const auto finished = std::exchange(this->hooks, {});
--- a/src/nodes/datagram.cpp
+++ b/src/nodes/datagram.cpp
@@ -60,7 +60,7 @@
     this->impl->stopping = true;
     asio::post(this->impl->strand, [impl = this->impl] {
         boost::system::error_code ignored;
-        impl->socket.close(ignored);
+        static_cast<void>(impl->socket.close(ignored));
     });
 }
 
--- a/src/nodes/rpcserver.cpp
+++ b/src/nodes/rpcserver.cpp
@@ -139,7 +139,7 @@
             continue;
         }
         boost::system::error_code ignored;
-        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        static_cast<void>(socket.set_option(asio::ip::tcp::no_delay(true), ignored));
         startConnection(server, asio::ip::tcp::socket(std::move(socket)));
     }
 }
@@ -169,7 +169,7 @@
     this->impl->stopping = true;
     asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
         boost::system::error_code ignored;
-        impl->acceptor.close(ignored);
+        static_cast<void>(impl->acceptor.close(ignored));
     });
 }
 
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -61,7 +61,7 @@
                 // A readable idle connection has been closed by the peer.
                 std::array<char, 1> byte {};
                 boost::system::error_code error;
-                stream->socket().non_blocking(true, error);
+                static_cast<void>(stream->socket().non_blocking(true, error));
                 stream->socket().receive(asio::buffer(byte), asio::socket_base::message_peek, error);
                 if (error == asio::error::would_block)
                     return stream;
@@ -100,7 +100,7 @@
     auto [connectError]
         = co_await this->stream->async_connect(asio::ip::tcp::endpoint(host, this->address.port), asTuple);
     if (!connectError)
-        this->stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
+        static_cast<void>(this->stream->socket().set_option(asio::ip::tcp::no_delay(true), error));
     co_return connectError;
 }
 
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -193,7 +193,7 @@
     }
     this->endExchange(this->broken);
     boost::system::error_code ignored;
-    this->stream.socket().cancel(ignored);
+    static_cast<void>(this->stream.socket().cancel(ignored));
 }
 
 asio::awaitable<void> Session::refuse(http::status status)
@@ -232,7 +232,7 @@
             break;
     }
     boost::system::error_code ignored;
-    this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    static_cast<void>(this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored));
     --this->server->connections;
 }
 
@@ -254,7 +254,7 @@
             continue;
         ++server->connections;
         boost::system::error_code ignored;
-        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        static_cast<void>(socket.set_option(asio::ip::tcp::no_delay(true), ignored));
         auto session = std::make_shared<Session>(server, asio::ip::tcp::socket(std::move(socket)));
         asio::co_spawn(session->stream.get_executor(), session->run(session), asio::detached);
     }
@@ -304,7 +304,7 @@
             return;
         session->broken = true;
         boost::system::error_code ignored;
-        session->stream.socket().close(ignored);
+        static_cast<void>(session->stream.socket().close(ignored));
         session->endExchange(true);
         session->wake.cancel();
     });
@@ -346,7 +346,7 @@
     this->impl->stopping = true;
     asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
         boost::system::error_code ignored;
-        impl->acceptor.close(ignored);
+        static_cast<void>(impl->acceptor.close(ignored));
     });
 }
 
--- a/src/scheduler/calls.cpp
+++ b/src/scheduler/calls.cpp
@@ -384,7 +384,7 @@
             moved = true;
             return std::monostate {};
         }
-        const auto allowed = checkProgram(*state, message.caller, message.program);
+        auto allowed = checkProgram(*state, message.caller, message.program);
         if (!allowed)
             return allowed;
         const auto ended
--- a/src/scheduler/membership.cpp
+++ b/src/scheduler/membership.cpp
@@ -50,7 +50,7 @@
 
 void readInstanceList(Node& node)
 {
-    listInstances(node.http, *node.init.instances, [&node](Result<std::vector<InstanceRow>> rows) {
+    listInstances(node.http, *node.init.instances, [&node](const Result<std::vector<InstanceRow>>& rows) {
         if (!rows)
             return;
         std::vector<Address> addresses;
--- a/src/scheduler/node.cpp
+++ b/src/scheduler/node.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::uint64_t partitionsPerDomainLimit = 256;
 constexpr Milliseconds ownerRetry { 50 };
 
 Incarnation newIncarnation()
@@ -47,6 +46,7 @@
 std::vector<PartitionId> Node::partitionsOf(DomainId of) const
 {
     std::vector<PartitionId> ids;
+    ids.reserve(this->init.partitionsPerDomain);
     for (std::uint64_t index = 0; index < this->init.partitionsPerDomain; ++index)
         ids.push_back({ of.value * partitionsPerDomainLimit + index });
     return ids;
@@ -181,7 +181,7 @@
 void handleMessage(Node& node, Message message, Responder respond)
 {
     if (const auto* rate = std::get_if<RatePermitRequest>(&message))
-        return handleRatePermit(node, *rate, std::move(respond));
+        return handleRatePermit(node, *rate, respond);
     if (const auto* slot = std::get_if<SlotRequest>(&message))
         return handleSlotRequest(node, *slot, std::move(respond));
     if (const auto* begin = std::get_if<BeginProgramMessage>(&message))
--- a/src/scheduler/node_p.h
+++ b/src/scheduler/node_p.h
@@ -209,7 +209,7 @@
 void renewTables(PartitionState& state, TimePoint now);
 
 // permits.cpp
-void handleRatePermit(Node& node, const RatePermitRequest& request, Responder respond);
+void handleRatePermit(Node& node, const RatePermitRequest& request, const Responder& respond);
 void handleRateCorrection(Node& node, const RateCorrection& correction);
 LoanReply handleLoan(Node& node, const LoanRequest& request);
 void startLoans(Node& node);
--- a/src/scheduler/partitions.cpp
+++ b/src/scheduler/partitions.cpp
@@ -13,7 +13,6 @@
 constexpr Milliseconds takeoverRetry { 2000 };
 /// Ids of takeover groups lie above all ids of an owner's own groups, which count from 1 in each epoch.
 constexpr std::uint64_t takeoverIdBit = std::uint64_t { 1 } << 62;
-constexpr std::uint64_t partitionsPerDomainLimit = 256;
 
 PartitionState& stateOf(Node& node, PartitionMap& map, PartitionId partition)
 {
@@ -159,7 +158,7 @@
 void maintain(Node& node, PartitionId partition)
 {
     const auto now = RuntimeClock::now();
-    auto live = node.liveNodes(DomainId { partition.value / partitionsPerDomainLimit });
+    auto live = node.liveNodes(domainOf(partition));
     if (node.draining)
         std::erase(live, node.self);
     const auto order = rendezvousOrder(partition.value, live);
--- a/src/scheduler/permits.cpp
+++ b/src/scheduler/permits.cpp
@@ -75,7 +75,7 @@
 
 } // namespace
 
-void handleRatePermit(Node& node, const RatePermitRequest& request, Responder respond)
+void handleRatePermit(Node& node, const RatePermitRequest& request, const Responder& respond)
 {
     const auto now = RuntimeClock::now();
     const auto result = node.withPartition(partitionOf(node, request.bucket), [&](PartitionState* state) -> TakeResult {
--- a/src/scheduler/run.cpp
+++ b/src/scheduler/run.cpp
@@ -206,7 +206,7 @@
     sendAppends(node, partition);
 }
 
-void endAttempt(Node& node, const Attempt& attempt, EndpointAnswer answer)
+void endAttempt(Node& node, const Attempt& attempt, const EndpointAnswer& answer)
 {
     if (answer.requestWritten)
         attempt.guard->beginWriting();
@@ -253,7 +253,7 @@
 HttpClient::Call startOnEndpoint(Node& node, const Attempt& attempt, const RunningCall& call)
 {
     const auto left = std::chrono::duration_cast<Milliseconds>(call.deadline - RuntimeClock::now());
-    auto onEnd = [&node, attempt](EndpointAnswer answer) { endAttempt(node, attempt, std::move(answer)); };
+    auto onEnd = [&node, attempt](const EndpointAnswer& answer) { endAttempt(node, attempt, answer); };
     if (call.message.target == CallTarget::Service)
         return node.endpoints.run(
             { attempt.slot.address, call.message.name, call.message.call, call.message.input, left }, std::move(onEnd));
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -59,6 +59,7 @@
 
 SchedulerInit readSchedulerSettings(const std::string& text, std::vector<Problem>& problems)
 {
+    constexpr std::int64_t daySeconds = 24 * 3600;
     SchedulerInit init;
     const auto sections = parseIni(text);
     if (!sections) {
@@ -87,7 +88,7 @@
     init.log = platform.address("log", std::nullopt);
     if (platformSection.find("instances"))
         init.instances = platform.address("instances", std::nullopt);
-    init.logRetention = Seconds(platform.integer("log_retention_seconds", 24 * 3600, 60, 365 * 24 * 3600));
+    init.logRetention = Seconds(platform.integer("log_retention_seconds", daySeconds, 60, 365 * daySeconds));
     platform.rejectUnknownKeys();
     const auto fleetSection = find("fleet");
     SectionReader fleet(fleetSection, problems);
--- a/src/scheduler/tables.cpp
+++ b/src/scheduler/tables.cpp
@@ -114,7 +114,7 @@
 void configureDocument(
     Node& node, PartitionState& state, const Configuration& configuration, const Document& document, TimePoint now)
 {
-    const DomainId domain { state.id.value / 256 };
+    const auto domain = domainOf(state.id);
     for (const auto& endpoint : document.endpoints)
         configureEndpoint(node, state, configuration, document, endpoint, now);
     for (const auto& workspace : document.workspaces) {
@@ -151,7 +151,7 @@
     if (!until)
         return;
     const auto epoch = state.lease->epoch();
-    const DomainId domain { state.id.value / 256 };
+    const auto domain = domainOf(state.id);
     for (const auto workspace : state.workspaces) {
         for (const auto kind : { GrantKind::Requests, GrantKind::Tokens }) {
             const BucketKey bucket { workspace, domain, kind };
