--- a/src/scheduler/slots.cpp
+++ b/src/scheduler/slots.cpp
@@ -54,6 +54,7 @@
     const PartitionState& state, const DispatchGroup& group, const QueuedCall& call, TimePoint now)
 {
     std::vector<EndpointView> views;
+    views.reserve(group.endpoints.size());
     for (const auto endpoint : group.endpoints)
         views.push_back(viewOf(state, endpoint, call, now));
     return views;
@@ -172,7 +173,7 @@
             return Error { ErrorKind::EndpointUnavailable, Outcome::NotRun,
                 "no endpoint of the failure domain serves " + request.name, Milliseconds(500) };
         auto& group = found->second;
-        const auto pushed = group.queue.push(now, queuedCall(request, now));
+        auto pushed = group.queue.push(now, queuedCall(request, now));
         if (!pushed)
             return pushed;
         group.waiting[request.call] = { request, respond };
