Feed the instance list to the leases, so that a wholly replaced failure domain recovers

A successor needs releases from the old electorate. When every node of a failure domain was replaced under new names nobody could give them, and the partitions stayed without an owner. Voters that a fresh instance list has not named for voter_absence_seconds (60) now count as released; without a fresh list none does.

--- a/include/peridotramp/scheduler.h
+++ b/include/peridotramp/scheduler.h
@@ -26,6 +26,8 @@
     double appendsPerSecond = 300;
     /// Time for which the log keeps records.
     Seconds logRetention { 24 * 3600 };
+    /// A voter that the instance list has not named for this long counts as stopped.
+    Seconds voterAbsence { 60 };
     /// Longest time that a planned stop waits for running calls.
     Seconds drainLimit { 60 };
     /// Whether `POST /cuts` on the admin address may cut this node off from other addresses, for tests.
--- a/src/scheduler/membership.cpp
+++ b/src/scheduler/membership.cpp
@@ -8,7 +8,7 @@
 
 constexpr Milliseconds tickPeriod { 100 };
 constexpr Milliseconds tablePeriod { 1000 };
-constexpr Seconds hintPeriod { 10 };
+constexpr Seconds hintPeriod { 2 };
 
 void receive(Node& node, const MembershipMessage& message)
 {
@@ -48,11 +48,32 @@
     }
 }
 
+// Tells the leases which voters the list does not name, so that a failure domain whose nodes have all been replaced can
+// take its partitions again. Without a fresh list no voter counts as absent.
+void noteAbsentVoters(Node& node, const std::optional<std::set<NodeId>>& listed)
+{
+    const auto now = RuntimeClock::now();
+    node.partitions.forEach([&](PartitionMap& map) {
+        for (auto& [id, state] : map) {
+            for (const auto& ownership : state.log.contenders()) {
+                for (const auto voter : ownership.record.electorate) {
+                    const bool isAbsent = listed && !listed->contains(voter);
+                    state.lease->setAbsent(voter, isAbsent ? std::optional(now) : std::nullopt);
+                }
+            }
+        }
+    });
+}
+
 void readInstanceList(Node& node)
 {
     listInstances(node.http, *node.init.instances, [&node](const Result<std::vector<InstanceRow>>& rows) {
         if (!rows)
-            return;
+            return noteAbsentVoters(node, std::nullopt);
+        std::set<NodeId> listed;
+        for (const auto& row : *rows)
+            listed.insert(idFromName<NodeId>(row.name));
+        noteAbsentVoters(node, listed);
         std::vector<Address> addresses;
         std::ranges::transform(*rows, std::back_inserter(addresses), &InstanceRow::address);
         node.membership.with(
--- a/src/scheduler/partitions.cpp
+++ b/src/scheduler/partitions.cpp
@@ -21,7 +21,9 @@
         return found->second;
     auto& state = map[partition];
     state.id = partition;
-    state.lease.emplace(partition, node.self, node.incarnation);
+    LeaseSettings lease;
+    lease.absence = node.init.voterAbsence;
+    state.lease.emplace(partition, node.self, node.incarnation, lease);
     const auto unixNow = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
     ProgramSettings programs;
     programs.unixAtZero = unixNow - std::chrono::duration_cast<Milliseconds>(RuntimeClock::now().time_since_epoch());
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -94,6 +94,7 @@
     SectionReader fleet(fleetSection, problems);
     init.domains = fleet.list("domains");
     init.partitionsPerDomain = static_cast<std::size_t>(fleet.integer("partitions_per_domain", 4, 1, 256));
+    init.voterAbsence = Seconds(fleet.integer("voter_absence_seconds", 60, 1, 3600));
     init.appendsPerSecond = fleet.number("appends_per_second", 300, 1, 100000);
     for (const auto& seed : fleet.list("seeds")) {
         const auto address = Address::parse(seed);
--- a/tests/processes/failures.cpp
+++ b/tests/processes/failures.cpp
@@ -156,3 +156,22 @@
     REQUIRE(fleet.call(program, "model", "planner", "next", longDeadline).response.status == 200);
     REQUIRE(fleet.executions() == std::pair<std::int64_t, std::int64_t> { 1, 1 });
 }
+
+TEST_CASE("a failure domain whose nodes are all replaced takes its partitions again")
+{
+    Fleet fleet({ "a", "a" });
+    auto program = fleet.begin();
+    REQUIRE(fleet.call(program, "call", "charge", "before", longDeadline).response.status == 200);
+    for (int index = 0; index < 2; ++index) {
+        auto& scheduler = *fleet.schedulers[static_cast<std::size_t>(index)];
+        scheduler.process().signal(SIGKILL);
+        fleet.list("node-" + std::to_string(index), scheduler, false);
+    }
+    auto& replacement = fleet.addScheduler("node-9", "a");
+    const auto takes = [&] {
+        const auto dump = fleet.http.get(replacement.companion("admin"), "/dump?format=json").object();
+        const auto* partition = dump.if_contains("partition 0");
+        return partition && partition->as_object().at("may_act").as_string() == "true";
+    };
+    REQUIRE(waitUntil(takes, Seconds(60)));
+}
--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -22,6 +22,8 @@
 Fleet::Fleet(const std::vector<std::string>& domains)
 {
     this->log = std::make_unique<Server>(this->folder, "standin-log");
+    this->instances
+        = std::make_unique<Server>(this->folder, "standin-instances", std::vector<std::string> { "--lag-ms", "200" });
     for (int index = 0; index < 2; ++index) {
         this->engines.push_back(std::make_unique<Server>(this->folder, "standin-engine",
             std::vector<std::string> { "--models", "planner", "--token-us", "2000", "--cold-ms", "100" }));
@@ -48,20 +50,33 @@
         throw std::runtime_error("the gateway is not ready: " + this->gateway->process().standardError());
 }
 
+Server& Fleet::addScheduler(const std::string& name, const std::string& domain)
+{
+    const auto settings = this->folder.write(name + ".ini",
+        fmt::format("[node]\nname = {}\ndomain = {}\ntest_hooks = true\n[platform]\nlog = {}\ninstances = {}\n"
+                    "[fleet]\ndomains = {}\npartitions_per_domain = 2\nvoter_absence_seconds = 3\nseeds = {}\n",
+            name, domain, this->log->address().toString(), this->instances->address().toString(),
+            join(this->domainNames), this->seeds));
+    this->schedulers.push_back(std::make_unique<Server>(
+        this->folder, "peridot-scheduler", std::vector<std::string> { "--settings", settings }));
+    auto& scheduler = *this->schedulers.back();
+    this->seeds += (this->seeds.empty() ? "" : ", ") + scheduler.companion("gossip").toString();
+    this->list(name, scheduler, true);
+    return scheduler;
+}
+
+void Fleet::list(const std::string& name, const Server& scheduler, bool isLive)
+{
+    const json::object row { { "name", name }, { "address", scheduler.companion("gossip").toString() },
+        { "state", isLive ? "live" : "gone" } };
+    this->http.post(this->instances->address(), "/instances", json::serialize(row));
+}
+
 void Fleet::startSchedulers(const std::vector<std::string>& domains)
 {
-    std::string seeds;
-    for (std::size_t index = 0; index < domains.size(); ++index) {
-        this->names.push_back(fmt::format("node-{}", index));
-        const auto settings = this->folder.write(fmt::format("scheduler-{}.ini", index),
-            fmt::format(
-                "[node]\nname = {}\ndomain = {}\ntest_hooks = true\n[platform]\nlog = {}\n[fleet]\ndomains = {}\n"
-                "partitions_per_domain = 2\nseeds = {}\n",
-                this->names.back(), domains[index], this->log->address().toString(), join(distinct(domains)), seeds));
-        this->schedulers.push_back(std::make_unique<Server>(
-            this->folder, "peridot-scheduler", std::vector<std::string> { "--settings", settings }));
-        seeds += (seeds.empty() ? "" : ", ") + this->schedulers.back()->companion("gossip").toString();
-    }
+    this->domainNames = distinct(domains);
+    for (std::size_t index = 0; index < domains.size(); ++index)
+        this->addScheduler(fmt::format("node-{}", index), domains[index]);
 }
 
 void Fleet::writeDocument(const std::vector<std::string>& domains)
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -23,6 +23,11 @@
         std::string digest;
     };
 
+    /// Starts a further scheduler and returns it.
+    Server& addScheduler(const std::string& name, const std::string& domain);
+    /// Puts a node on the platform's instance list or takes it off.
+    void list(const std::string& name, const Server& scheduler, bool isLive);
+
     Program begin();
     /// Runs a call as the program's next turn and moves the program on when it completed.
     Fetcher::Answer call(Program& program, const std::string& kind, const std::string& target,
@@ -42,6 +47,7 @@
     TemporaryFolder folder {};
     Fetcher http {};
     std::unique_ptr<Server> log;
+    std::unique_ptr<Server> instances;
     std::vector<std::unique_ptr<Server>> engines {};
     std::unique_ptr<Server> service;
     std::vector<std::unique_ptr<Server>> schedulers {};
@@ -51,7 +57,8 @@
     void startSchedulers(const std::vector<std::string>& domains);
     void writeDocument(const std::vector<std::string>& domains);
 
-    std::vector<std::string> names {};
+    std::vector<std::string> domainNames {};
+    std::string seeds {};
 };
 
 /// Returns the kind and the outcome of an error answer, as `KIND/OUTCOME`.
