Let a planned stop end an instance that an operator has drained

drain() returned early when the draining flag was set, which an operator's drain sets too, so SIGTERM then had no effect. The planned stop has its own flag.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,7 @@
     }
 
     GatewayState state;
+    std::atomic<bool> stopping = false;
 };
 
 namespace {
@@ -93,8 +94,10 @@
 void Gateway::drain(std::function<void()> done)
 {
     auto& state = this->impl->state;
-    if (state.draining.exchange(true))
+    // An operator may have drained the gateway before, so the flag of that state does not tell.
+    if (this->impl->stopping.exchange(true))
         return;
+    state.draining = true;
     log(LogLevel::Info, "draining");
     state.runtime.after(state.init.drainDelay, [&state, done = std::move(done)] {
         state.server->stopAccepting();
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -12,6 +12,7 @@
     }
 
     Node node;
+    std::atomic<bool> stopping = false;
 };
 
 namespace {
@@ -42,18 +43,28 @@
 
 } // namespace
 
-Status setDraining(Node& node, bool isDraining)
+namespace {
+
+// Stops admission, waits for the running calls and hands all partitions over.
+void beginDraining(Node& node, const std::function<void()>& done)
 {
-    if (node.draining.exchange(isDraining) == isDraining)
-        return std::monostate {};
-    log(LogLevel::Info, isDraining ? "taken out of service" : "returned to service");
-    if (!isDraining)
-        return std::monostate {};
+    node.draining = true;
+    log(LogLevel::Info, "draining");
     node.partitions.forEach([](PartitionMap& map) {
         for (auto& [id, state] : map)
             state.handingOver = state.queue.has_value();
     });
-    awaitCalls(node, RuntimeClock::now() + node.init.drainLimit, [] { });
+    awaitCalls(node, RuntimeClock::now() + node.init.drainLimit, done);
+}
+
+} // namespace
+
+Status setDraining(Node& node, bool isDraining)
+{
+    if (isDraining && !node.draining)
+        beginDraining(node, [] { });
+    if (!isDraining && node.draining.exchange(false))
+        log(LogLevel::Info, "returned to service");
     return std::monostate {};
 }
 
@@ -145,14 +156,10 @@
 void Scheduler::drain(std::function<void()> done)
 {
     auto& node = this->impl->node;
-    if (node.draining.exchange(true))
+    // An operator may have drained the instance before, so the flag of that state does not tell.
+    if (this->impl->stopping.exchange(true))
         return;
-    log(LogLevel::Info, "draining");
-    node.partitions.forEach([](PartitionMap& map) {
-        for (auto& [id, state] : map)
-            state.handingOver = true;
-    });
-    awaitCalls(node, RuntimeClock::now() + node.init.drainLimit, [&node, done = std::move(done)] {
+    beginDraining(node, [&node, done = std::move(done)] {
         leaveMembership(node);
         // Datagrams and forwarded answers that are under way get the time to arrive.
         node.runtime.after(Milliseconds(500), done);
--- a/tests/processes/failures.cpp
+++ b/tests/processes/failures.cpp
@@ -139,6 +139,17 @@
     REQUIRE(waitUntil([&] { return fleet.post("/v1/programs", "{}").response.status == 401; }, Seconds(6)));
 }
 
+TEST_CASE("an instance that an operator has drained still ends at a planned stop")
+{
+    Fleet fleet({ "a", "a" });
+    fleet.begin();
+    for (auto* server : { fleet.schedulers[1].get(), fleet.gateway.get() }) {
+        REQUIRE(fleet.http.post(server->companion("admin"), "/drain", "").response.status == 200);
+        server->process().signal(SIGTERM);
+        REQUIRE(server->process().waitForEnd(Seconds(20)) == 0);
+    }
+}
+
 TEST_CASE("a planned stop of an owner cuts off no request, and its programs go on elsewhere")
 {
     Fleet fleet({ "a", "a" });
