Share the accept loop between the servers and the main program between the services

Both servers had their own copy of listening, accepting and closing, and both services their own main.

--- a/src/nodes/rpcserver.cpp
+++ b/src/nodes/rpcserver.cpp
@@ -2,8 +2,6 @@
 
 namespace peridotramp {
 
-using Strand = asio::strand<asio::io_context::executor_type>;
-
 struct RpcReply::State {
     std::shared_ptr<FrameConnection> connection;
     std::uint64_t correlation = 0;
@@ -64,7 +62,7 @@
     Init init;
     Handler handler;
     asio::io_context& context;
-    asio::basic_socket_acceptor<asio::ip::tcp, Strand> acceptor;
+    Acceptor acceptor;
     Address bound;
     std::atomic<bool> stopping = false;
 };
@@ -126,51 +124,21 @@
     connection->start(std::move(hooks));
 }
 
-asio::awaitable<void> acceptConnections(std::shared_ptr<RpcServer::Impl> server)
-{
-    while (!server->stopping) {
-        auto [error, socket] = co_await server->acceptor.async_accept(asio::make_strand(server->context), asTuple);
-        if (error) {
-            if (server->stopping)
-                co_return;
-            // Running out of descriptors is transient; the pause keeps the loop from spinning.
-            asio::steady_timer pause(server->acceptor.get_executor(), Milliseconds(20));
-            co_await pause.async_wait(asTuple);
-            continue;
-        }
-        boost::system::error_code ignored;
-        static_cast<void>(socket.set_option(asio::ip::tcp::no_delay(true), ignored));
-        startConnection(server, asio::ip::tcp::socket(std::move(socket)));
-    }
-}
-
 } // namespace
 
 RpcServer::RpcServer(Runtime& runtime, Init init, Handler handler)
     : impl(std::make_shared<Impl>(runtime, std::move(init), std::move(handler)))
 {
-    auto& acceptor = this->impl->acceptor;
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(this->impl->init.listen.host), this->impl->init.listen.port);
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen();
-    this->impl->bound = { this->impl->init.listen.host, acceptor.local_endpoint().port() };
-    asio::co_spawn(acceptor.get_executor(), acceptConnections(this->impl), asio::detached);
+    this->impl->bound = listenOn(this->impl->acceptor, this->impl->init.listen);
+    auto onSocket = [impl = this->impl](asio::ip::tcp::socket socket) { startConnection(impl, std::move(socket)); };
+    asio::co_spawn(
+        this->impl->acceptor.get_executor(), acceptConnections(this->impl, std::move(onSocket)), asio::detached);
 }
 
 RpcServer::~RpcServer() { this->stopAccepting(); }
 
 Address RpcServer::address() const { return this->impl->bound; }
 
-void RpcServer::stopAccepting()
-{
-    this->impl->stopping = true;
-    asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
-        boost::system::error_code ignored;
-        static_cast<void>(impl->acceptor.close(ignored));
-    });
-}
+void RpcServer::stopAccepting() { stopListening(this->impl); }
 
 } // namespace peridotramp
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -4,9 +4,6 @@
 
 namespace peridotramp {
 
-using Strand = asio::strand<asio::io_context::executor_type>;
-using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, Strand>;
-
 struct HttpServer::Impl {
     Impl(Runtime& runtime, Init init, Handler handler)
         : init(std::move(init))
@@ -238,26 +235,13 @@
 
 namespace {
 
-asio::awaitable<void> acceptConnections(std::shared_ptr<HttpServer::Impl> server)
+void startSession(const std::shared_ptr<HttpServer::Impl>& server, asio::ip::tcp::socket socket)
 {
-    while (!server->stopping) {
-        auto [error, socket] = co_await server->acceptor.async_accept(asio::make_strand(server->context), asTuple);
-        if (error) {
-            if (server->stopping)
-                co_return;
-            // Running out of descriptors is transient; the pause keeps the loop from spinning.
-            asio::steady_timer pause(server->acceptor.get_executor(), Milliseconds(20));
-            co_await pause.async_wait(asTuple);
-            continue;
-        }
-        if (server->connections >= server->init.maxConnections)
-            continue;
-        ++server->connections;
-        boost::system::error_code ignored;
-        static_cast<void>(socket.set_option(asio::ip::tcp::no_delay(true), ignored));
-        auto session = std::make_shared<Session>(server, asio::ip::tcp::socket(std::move(socket)));
-        asio::co_spawn(session->stream.get_executor(), session->run(session), asio::detached);
-    }
+    if (server->connections >= server->init.maxConnections)
+        return;
+    ++server->connections;
+    auto session = std::make_shared<Session>(server, std::move(socket));
+    asio::co_spawn(session->stream.get_executor(), session->run(session), asio::detached);
 }
 
 void post(const HttpExchange& exchange, Session::PartKind kind, HttpResponse response)
@@ -326,29 +310,17 @@
 HttpServer::HttpServer(Runtime& runtime, Init init, Handler handler)
     : impl(std::make_shared<Impl>(runtime, std::move(init), std::move(handler)))
 {
-    auto& acceptor = this->impl->acceptor;
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(this->impl->init.listen.host), this->impl->init.listen.port);
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen();
-    this->impl->bound = { this->impl->init.listen.host, acceptor.local_endpoint().port() };
-    asio::co_spawn(acceptor.get_executor(), acceptConnections(this->impl), asio::detached);
+    this->impl->bound = listenOn(this->impl->acceptor, this->impl->init.listen);
+    auto onSocket = [impl = this->impl](asio::ip::tcp::socket socket) { startSession(impl, std::move(socket)); };
+    asio::co_spawn(
+        this->impl->acceptor.get_executor(), acceptConnections(this->impl, std::move(onSocket)), asio::detached);
 }
 
 HttpServer::~HttpServer() { this->stopAccepting(); }
 
 Address HttpServer::address() const { return this->impl->bound; }
 
-void HttpServer::stopAccepting()
-{
-    this->impl->stopping = true;
-    asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
-        boost::system::error_code ignored;
-        static_cast<void>(impl->acceptor.close(ignored));
-    });
-}
+void HttpServer::stopAccepting() { stopListening(this->impl); }
 
 std::size_t HttpServer::activeExchanges() const { return this->impl->exchanges; }
 
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -70,7 +70,7 @@
 
 SchedulerInit readSchedulerSettings(const std::string& text, std::vector<Problem>& problems)
 {
-    constexpr std::int64_t daySeconds = 24 * 3600;
+    constexpr std::int64_t daySeconds = std::int64_t { 24 } * 3600;
     SchedulerInit init;
     const auto sections = parseIni(text);
     if (!sections) {
--- a/tools/service_p.h
+++ b/tools/service_p.h
@@ -76,4 +76,31 @@
     log(LogLevel::Info, "stopped");
 }
 
+/// Runs the main program of a service: reads the settings with `readSettings`, checks them, and serves.
+template <typename Service, typename ReadSettings>
+int runService(const std::string& name, ReadSettings readSettings, int argumentCount, char** arguments)
+{
+    CLI::App app(name + ": see docs/OPERATIONS.md");
+    ServiceOptions options;
+    addServiceOptions(app, options);
+    CLI11_PARSE(app, argumentCount, arguments);
+    configureLog(logLevelFromString(options.logLevel), name);
+    std::vector<Problem> problems;
+    const auto init = readSettings(readFile(options.settings), problems);
+    if (!reportProblems(options.settings, problems))
+        return 2;
+    if (options.checkOnly)
+        return 0;
+    try {
+        Runtime runtime({ init.threads });
+        Service service(runtime, init);
+        announce(options, service);
+        runUntilDrained(runtime, service);
+    } catch (const std::system_error& error) {
+        log(LogLevel::Error, "cannot start", { { "reason", error.what() } });
+        return 1;
+    }
+    return 0;
+}
+
 } // namespace peridotramp
