Say in a refusal by budget what is used, set aside and reserved, and by whom

Callers see 402 on programs that have run no turn. The line of a refused turn said nothing of the budget, so three causes could not be told apart: spent, held by an incarnation that is gone, or set aside for a request that nobody waits for. The detail now has the budget, the used, set aside and reserved tokens of the instance that decided, and the same of up to six other owners with whether they are reached. The line about a keeper that does not answer has the reason and the tokens that were asked for, at level warning.

--- a/include/peridotramp/tokens.h
+++ b/include/peridotramp/tokens.h
@@ -32,6 +32,20 @@
     Count
 };
 
+/// What an instance knows of the token budget of one program, to explain a refusal.
+struct TokenAccount {
+    TokenCount budget;
+    /// Tokens that callers of this instance have received.
+    TokenCount used;
+    /// Tokens that the log has confirmed for this instance.
+    TokenCount reserved;
+    /// Part of these that turns under way may still use.
+    TokenCount setAside;
+    int turnsUnderWay = 0;
+    /// Newest known reservation of each other owner.
+    std::vector<TokenReservation> others;
+};
+
 /// Token budgets of programs, as one instance knows them.
 ///
 /// An instance hands out tokens only from what it has reserved in the log, so the budget holds across instances,
@@ -70,6 +84,8 @@
     std::vector<std::string> holders(ProgramId program) const;
     /// Drops programs unused since `before` and returns the keys of this instance's entries of the log.
     std::vector<ProgramId> expire(TimePoint before);
+    /// Returns what is known of a program; empty values when nothing is.
+    TokenAccount account(ProgramId program) const;
     /// Returns whether turns of the program have run or are under way, as far as this instance knows.
     bool hasBegun(ProgramId program) const;
     std::size_t size() const { return this->programs.size(); }
@@ -86,6 +102,7 @@
         // The log may hold a larger reservation of this instance.
         bool ownUncertain = false;
         TokenCount setAside;
+        int turnsUnderWay = 0;
         TokenCount budget;
         TimePoint lastUse;
     };
--- a/src/decisions/tokens/tokens.cpp
+++ b/src/decisions/tokens/tokens.cpp
@@ -34,6 +34,7 @@
     const auto held = std::min(account.ownReserved, account.budget - others);
     if (needed <= held) {
         account.setAside += most;
+        ++account.turnsUnderWay;
         return TokenVerdict::Covered;
     }
     if (others + needed <= account.budget)
@@ -110,6 +111,7 @@
         return;
     auto& account = found->second;
     account.setAside -= most;
+    --account.turnsUnderWay;
     account.ownUsed += used;
     account.lastUse = now;
 }
@@ -143,6 +145,19 @@
     return owners;
 }
 
+TokenAccount TokenLedger::account(ProgramId program) const
+{
+    const auto found = this->programs.find(program);
+    if (found == this->programs.end())
+        return {};
+    const auto& account = found->second;
+    TokenAccount known { account.budget, account.ownUsed, account.ownReserved, account.setAside, account.turnsUnderWay,
+        {} };
+    std::ranges::transform(
+        account.others, std::back_inserter(known.others), [](const auto& entry) { return entry.second; });
+    return known;
+}
+
 bool TokenLedger::hasBegun(ProgramId program) const
 {
     const auto found = this->programs.find(program);
--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <ranges>
 
 namespace peridotramp {
 
@@ -28,6 +29,31 @@
 
 } // namespace
 
+std::string Ingress::Impl::describeBudget(ProgramId program)
+{
+    // A program that has visited many instances still gets one line of bounded length.
+    constexpr std::size_t mostOwners = 6;
+    const auto account
+        = this->tokens.with(program.value, [&](const TokenShard& shard) { return shard.ledger->account(program); });
+    auto text = fmt::format("at {}: budget {}, used {}, set aside {} for {} turns, reserved {}", this->owner,
+        account.budget.value, account.used.value, account.setAside.value, account.turnsUnderWay,
+        account.reserved.value);
+    const auto reachable = this->fleet.reachable();
+    for (const auto& other : account.others | std::views::take(mostOwners)) {
+        const auto name = other.owner.substr(0, other.owner.rfind('/'));
+        const bool isReached
+            = std::ranges::any_of(reachable, [&](const Peer& peer) { return peer.member.name == name; });
+        text += fmt::format("; {} ({}): used {} of {}", other.owner,
+            name == this->init.name ? "earlier incarnation"
+                : isReached         ? "reached"
+                                    : "not reached",
+            other.used.value, other.reserved.value);
+    }
+    if (account.others.size() > mostOwners)
+        text += fmt::format("; {} more owners", account.others.size() - mostOwners);
+    return text;
+}
+
 std::string Ingress::Impl::reservationKey(ProgramId program) const
 {
     return fmt::format("{:x}/{}", program.value, this->owner);
@@ -372,10 +398,12 @@
         case TokenVerdict::Reclaim: {
             // What is held after all holders have given back is set aside for turns under way.
             if (reclaimed)
-                co_return Result<ProgramStage>(Error { ErrorKind::BudgetExceeded, Outcome::NotRun, "turns under way" });
+                co_return Result<ProgramStage>(Error {
+                    ErrorKind::BudgetExceeded, Outcome::NotRun, "turns under way; " + this->describeBudget(program) });
             if (!co_await this->reclaimTokens(executor, program, deadline))
                 co_return Result<ProgramStage>(Error { ErrorKind::LogUnavailable, Outcome::NotRun,
-                    "tokens held by an instance that does not answer", retryAfterStoreLoss });
+                    "tokens held by an instance that does not answer; " + this->describeBudget(program),
+                    retryAfterStoreLoss });
             reclaimed = true;
             // The records of what was given back stand before the end of the log as it is now.
             auto reserved = co_await this->reserveTokens(executor, program, TokenCount {}, deadline);
@@ -385,7 +413,8 @@
         }
         case TokenVerdict::Spent:
         case TokenVerdict::Count:
-            co_return Result<ProgramStage>(Error { ErrorKind::BudgetExceeded, Outcome::NotRun });
+            co_return Result<ProgramStage>(
+                Error { ErrorKind::BudgetExceeded, Outcome::NotRun, "spent; " + this->describeBudget(program) });
         }
     }
     co_return Result<ProgramStage>(storeLost());
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -287,6 +287,8 @@
     asio::awaitable<void> giveBackTokens(asio::any_io_executor executor, ProgramId program);
     void settleTokens(ProgramId program, TokenCount most, TokenCount used);
     void applyReservations(const std::vector<StoreRecord>& records);
+    /// Says for a log line what this instance knows of a program's budget and who holds how much of it.
+    std::string describeBudget(ProgramId program);
     std::string reservationKey(ProgramId program) const;
     void expireBudgets();
 
--- a/src/ingress/keepers.cpp
+++ b/src/ingress/keepers.cpp
@@ -291,7 +291,10 @@
             }
             co_return std::move(*answer);
         }
-        log(LogLevel::Info, "keeper does not answer", { { "program", request.program }, { "keeper", keeper->name } });
+        log(LogLevel::Warning, "keeper does not answer",
+            { { "program", request.program }, { "keeper", keeper->name },
+                { "reason", answer ? toString(answer->error().kind) : "deadline of the request" },
+                { "most", request.most.value } });
         keeper.reset();
         request.timeLeft = std::chrono::duration_cast<Milliseconds>(deadline - RuntimeClock::now());
     }
