Release the tokens of a turn whose request nobody waits for any more

Callers saw: after a loss of power of all instances, programs that continue a kept turn got 402 on every try (44 to 47 tries, LOST), although no turn of them had run.

Cause: the instance with a request waits 900 ms for the keeper of its program and then goes on without it. The keeper, busy with reading its partitions and the history, sets the tokens aside later, and nobody releases them: the hold had no name that the other side could cancel, and the report of a turn's end was sent once and could be lost. A budget that holds one turn is then used up by a turn that never ran. Class: a resource held for a peer without a lease or an idempotent release.

Ruled out for these programs: reservations of incarnations that are gone, as the programs begin after the final fault; budgets that are really spent.

Change: a hold has an id that the asking instance chooses. The end of a turn is reported by that id until the keeper answers, also when the answer to the begin was not waited for; a report before the begin makes the begin fail, further reports change nothing. The keeper gets the time for which it is waited for. An instance that stops waits for its reports. A hold whose end is never reported no longer keeps the account in memory. Begin and end of turns have a file of their own.

--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -236,9 +236,14 @@
 struct BeginTurnRequest {
     ProgramId program;
     std::string workspace;
+    /// Names what is set aside for this turn. `EndTurnNotice` releases it, also when the answer was not waited for.
+    HoldId hold;
     /// Empty when the program has no budget.
     std::optional<TokenCount> budget;
     TokenCount most;
+    /// Time for which the asking instance waits for the answer.
+    Milliseconds patience { 0 };
+    /// Time for which the turn may go on.
     Milliseconds timeLeft { 0 };
     /// Turn whose history is asked for; empty when the asking instance needs none.
     std::string previousTurn;
@@ -250,10 +255,13 @@
     std::vector<ConversationTurn> history;
 };
 
-/// Ends a turn whose tokens were set aside.
+/// Reports the end of a turn to the instance that was asked to set its tokens aside. Sent until it is answered; further
+/// copies change nothing.
 struct EndTurnNotice {
     ProgramId program;
-    TokenCount most;
+    /// Invalid when no tokens were asked for.
+    HoldId hold;
+    /// Tokens that the caller has received.
     TokenCount used;
     /// The turn, when it was answered whole and is kept.
     std::optional<ConversationTurn> turn;
--- a/include/peridotramp/tokens.h
+++ b/include/peridotramp/tokens.h
@@ -4,6 +4,22 @@
 
 namespace peridotramp {
 
+/// Names the tokens that are set aside for one turn. Chosen by the instance that has the turn's request, and never used
+/// for another turn, so that the end of the turn can be reported more than once and also before the tokens are set
+/// aside.
+using HoldId = Id<struct HoldTag>;
+
+/// Asks for the tokens of one turn.
+struct TokenRequest {
+    HoldId hold;
+    /// Budget of the program as the caller states it.
+    TokenCount budget;
+    /// Most tokens that the turn may generate.
+    TokenCount most;
+    /// Time after which the turn hands out nothing more.
+    TimePoint until;
+};
+
 /// What one incarnation of an instance has reserved of the token budget of one program. The newest entry of an owner
 /// replaces its earlier ones; the order of the log decides which reservations hold.
 struct TokenReservation {
@@ -29,6 +45,8 @@
     Reclaim,
     /// What callers have received and may still receive from turns under way leaves no room for the turn.
     Spent,
+    /// The end of the turn has been reported already; nobody waits for its tokens.
+    Ended,
     Count
 };
 
@@ -42,6 +60,8 @@
     /// Part of these that turns under way may still use.
     TokenCount setAside;
     int turnsUnderWay = 0;
+    /// Turns under way that can hand out nothing more, so that the report of their end is overdue.
+    int turnsOverdue = 0;
     /// Newest known reservation of each other owner.
     std::vector<TokenReservation> others;
 };
@@ -59,8 +79,9 @@
 
     explicit TokenLedger(Init init);
 
-    /// Asks for the most tokens that a turn may generate. With `Covered` they are set aside until `settle`.
-    TokenVerdict admit(ProgramId program, TokenCount budget, TokenCount most, TimePoint now);
+    /// Asks for the most tokens that a turn may generate. With `Covered` they are set aside until `settle`; asking
+    /// again for the same hold sets nothing more aside.
+    TokenVerdict admit(ProgramId program, const TokenRequest& request, TimePoint now);
     /// Returns the reservation to append after `Reserve`: the whole amount that this instance then holds.
     TokenReservation request(ProgramId program, TokenCount most);
     /// Makes a reservation of this instance usable, once the log has been read up to its record or the other failure
@@ -75,8 +96,9 @@
     std::vector<ProgramId> programsWhere(const std::function<bool(ProgramId)>& isWanted) const;
     /// Applies a record of another owner.
     void apply(const TokenReservation& record, TimePoint now);
-    /// Ends a turn: `most` was set aside, and `used` of it reached the caller.
-    void settle(ProgramId program, TokenCount most, TokenCount used, TimePoint now);
+    /// Ends a turn of which `used` tokens reached the caller, and releases what was set aside for it. Further reports
+    /// of the same end change nothing. A hold that is not known yet is never set aside afterwards.
+    void settle(ProgramId program, HoldId hold, TokenCount used, TimePoint now);
     /// Lowers the reservation of this instance to what is used and set aside. Returns the record to append, or nothing
     /// when there is nothing to give back.
     std::optional<TokenReservation> giveBack(ProgramId program, TimePoint now);
@@ -85,12 +107,17 @@
     /// Drops programs unused since `before` and returns the keys of this instance's entries of the log.
     std::vector<ProgramId> expire(TimePoint before);
     /// Returns what is known of a program; empty values when nothing is.
-    TokenAccount account(ProgramId program) const;
+    TokenAccount account(ProgramId program, TimePoint now) const;
     /// Returns whether turns of the program have run or are under way, as far as this instance knows.
     bool hasBegun(ProgramId program) const;
     std::size_t size() const { return this->programs.size(); }
 
 private:
+    struct Hold {
+        TokenCount most;
+        TimePoint until;
+    };
+
     struct Account {
         std::map<std::string, TokenReservation> others;
         // Confirmed by the log.
@@ -101,8 +128,11 @@
         std::uint64_t ownRevision = 0;
         // The log may hold a larger reservation of this instance.
         bool ownUncertain = false;
+        std::map<HoldId, Hold> holds;
+        // Sum of the holds.
         TokenCount setAside;
-        int turnsUnderWay = 0;
+        // Turns whose end has been reported, with the time of the report.
+        std::map<HoldId, TimePoint> ended;
         TokenCount budget;
         TimePoint lastUse;
     };
--- a/src/decisions/tokens/tokens.cpp
+++ b/src/decisions/tokens/tokens.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Time for which a turn whose end was reported is remembered; a request for its tokens arrives sooner.
+constexpr Seconds endedLife { 30 };
+
 using OtherReservations = std::map<std::string, TokenReservation>;
 
 TokenCount sumOf(const OtherReservations& others, TokenCount TokenReservation::* amount)
@@ -22,19 +25,23 @@
 {
 }
 
-TokenVerdict TokenLedger::admit(ProgramId program, TokenCount budget, TokenCount most, TimePoint now)
+TokenVerdict TokenLedger::admit(ProgramId program, const TokenRequest& request, TimePoint now)
 {
     auto& account = this->programs[program];
     account.lastUse = now;
+    if (account.ended.contains(request.hold))
+        return TokenVerdict::Ended;
+    if (account.holds.contains(request.hold))
+        return TokenVerdict::Covered;
     // Callers state the budget with each turn; the least that was stated binds.
-    account.budget = account.budget.value == 0 ? budget : std::min(account.budget, budget);
-    const auto needed = account.ownUsed + account.setAside + most;
+    account.budget = account.budget.value == 0 ? request.budget : std::min(account.budget, request.budget);
+    const auto needed = account.ownUsed + account.setAside + request.most;
     const auto others = sumOf(account.others, &TokenReservation::reserved);
     // Of two reservations that exceed the budget together, neither is handed out beyond what the other leaves.
     const auto held = std::min(account.ownReserved, account.budget - others);
     if (needed <= held) {
-        account.setAside += most;
-        ++account.turnsUnderWay;
+        account.holds.emplace(request.hold, Hold { request.most, request.until });
+        account.setAside += request.most;
         return TokenVerdict::Covered;
     }
     if (others + needed <= account.budget)
@@ -104,16 +111,17 @@
         known = record;
 }
 
-void TokenLedger::settle(ProgramId program, TokenCount most, TokenCount used, TimePoint now)
+void TokenLedger::settle(ProgramId program, HoldId hold, TokenCount used, TimePoint now)
 {
-    const auto found = this->programs.find(program);
-    if (found == this->programs.end())
-        return;
-    auto& account = found->second;
-    account.setAside -= most;
-    --account.turnsUnderWay;
-    account.ownUsed += used;
+    auto& account = this->programs[program];
     account.lastUse = now;
+    std::erase_if(account.ended, [&](const auto& entry) { return entry.second + endedLife < now; });
+    if (!account.ended.emplace(hold, now).second)
+        return;
+    if (const auto held = account.holds.extract(hold)) {
+        account.setAside -= held.mapped().most;
+        account.ownUsed += used;
+    }
 }
 
 std::optional<TokenReservation> TokenLedger::giveBack(ProgramId program, TimePoint now)
@@ -145,14 +153,20 @@
     return owners;
 }
 
-TokenAccount TokenLedger::account(ProgramId program) const
+TokenAccount TokenLedger::account(ProgramId program, TimePoint now) const
 {
     const auto found = this->programs.find(program);
     if (found == this->programs.end())
         return {};
     const auto& account = found->second;
-    TokenAccount known { account.budget, account.ownUsed, account.ownReserved, account.setAside, account.turnsUnderWay,
-        {} };
+    TokenAccount known;
+    known.budget = account.budget;
+    known.used = account.ownUsed;
+    known.reserved = account.ownReserved;
+    known.setAside = account.setAside;
+    known.turnsUnderWay = static_cast<int>(account.holds.size());
+    known.turnsOverdue = static_cast<int>(
+        std::ranges::count_if(account.holds, [&](const auto& entry) { return entry.second.until < now; }));
     std::ranges::transform(
         account.others, std::back_inserter(known.others), [](const auto& entry) { return entry.second; });
     return known;
@@ -172,7 +186,10 @@
     std::vector<ProgramId> own;
     std::erase_if(this->programs, [&](const auto& entry) {
         const auto& [program, account] = entry;
-        if (account.lastUse >= before || account.setAside.value > 0)
+        // A hold whose end was never reported must not keep the account for good.
+        const bool isRunning
+            = std::ranges::any_of(account.holds, [&](const auto& hold) { return hold.second.until >= before; });
+        if (account.lastUse >= before || isRunning)
             return false;
         if (account.ownRevision > 0)
             own.push_back(program);
--- /dev/null
+++ b/src/ingress/beginturn.cpp
@@ -0,0 +1,133 @@
+#include "ingress_p.h"
+
+#include <algorithm>
+
+namespace peridotramp {
+
+namespace {
+
+// Time for a keeper to answer, a reservation in the log and a look for the history included.
+constexpr Milliseconds askKeeperLimit { 900 };
+// Time for which turns are held that another instance keeps; a conversation mostly goes on within seconds.
+constexpr Seconds heldCopyLife { 15 };
+constexpr Milliseconds endTurnLimit { 500 };
+// Pause before the end of a turn is reported again; it doubles. The last report goes out some seconds after the first,
+// when a keeper that was busy or cut off for a moment answers again.
+constexpr Milliseconds endTurnPause { 200 };
+constexpr int endTurnReports = 5;
+
+// Whether an error says that the other instance did not answer, rather than what it decided.
+bool isLost(ErrorKind kind) { return kind == ErrorKind::ConnectionFailed || kind == ErrorKind::DeadlineExceeded; }
+
+} // namespace
+
+HoldId Ingress::Impl::nextHold() { return { hashBytes(this->owner, ++this->holds) >> 1 }; }
+
+asio::awaitable<Result<BeginTurnReply>> Ingress::Impl::beginTurnAt(
+    asio::any_io_executor executor, std::optional<FleetMember>& keeper, BeginTurnRequest request)
+{
+    const auto deadline = RuntimeClock::now() + request.timeLeft;
+    if (keeper) {
+        request.patience = std::min(request.timeLeft, askKeeperLimit);
+        using Answer = Result<BeginTurnReply>;
+        const std::function<void(std::function<void(Answer)>)> start = [&](std::function<void(Answer)> hook) {
+            this->fleet.call(
+                keeper->address, request, request.patience, [hook = std::move(hook)](Result<Message> answer, bool) {
+                    auto* reply = answer ? std::get_if<BeginTurnReply>(&answer.value()) : nullptr;
+                    if (reply)
+                        hook(std::move(*reply));
+                    else
+                        hook(answer ? Error { ErrorKind::ConnectionFailed } : answer.error());
+                });
+        };
+        auto answer = co_await resultOf<Answer>(executor, deadline, start);
+        const bool answered = answer && (*answer || !isLost(answer->error().kind));
+        if (answered) {
+            if (*answer) {
+                for (auto& turn : answer->value().history)
+                    this->addTurn(std::move(turn), std::nullopt, heldCopyLife);
+            }
+            co_return std::move(*answer);
+        }
+        this->metrics.count("keepers_unanswered");
+        log(LogLevel::Warning, "keeper does not answer",
+            { { "program", request.program }, { "keeper", keeper->name },
+                { "reason", answer ? toString(answer->error().kind) : "deadline of the request" },
+                { "hold", request.hold } });
+        // The keeper may have set tokens aside, or may do so later; nobody uses them.
+        if (request.budget)
+            this->reportEndTurn(*keeper, { request.program, request.hold });
+        keeper.reset();
+        request.timeLeft = std::chrono::duration_cast<Milliseconds>(deadline - RuntimeClock::now());
+    }
+    request.patience = request.timeLeft;
+    auto begun = co_await this->beginTurn(executor, std::move(request));
+    co_return begun;
+}
+
+asio::awaitable<Result<BeginTurnReply>> Ingress::Impl::beginTurn(
+    asio::any_io_executor executor, BeginTurnRequest request)
+{
+    const auto now = RuntimeClock::now();
+    const auto deadline = now + request.patience;
+    if (!request.previousTurn.empty()) {
+        const auto history
+            = co_await this->historyOf(executor, request.program, request.previousTurn, request.workspace, deadline);
+        if (!history)
+            co_return Result<BeginTurnReply>(history.error());
+    }
+    BeginTurnReply reply;
+    if (request.budget) {
+        const TokenRequest tokens { request.hold, *request.budget, request.most, now + request.timeLeft };
+        const auto admitted = co_await this->admitTokens(executor, request.program, tokens, deadline);
+        if (!admitted)
+            co_return Result<BeginTurnReply>(admitted.error());
+        reply.stage = *admitted;
+    }
+    co_return Result<BeginTurnReply>(std::move(reply));
+}
+
+void Ingress::Impl::endTurnAt(const std::optional<FleetMember>& keeper, EndTurnNotice notice)
+{
+    if (!keeper) {
+        this->endTurn(std::move(notice));
+        return;
+    }
+    // Until the keeper has the turn, it is found here.
+    if (notice.turn)
+        this->addTurn(*notice.turn, std::nullopt, heldCopyLife);
+    this->reportEndTurn(*keeper, std::move(notice));
+}
+
+void Ingress::Impl::reportEndTurn(const FleetMember& keeper, EndTurnNotice notice)
+{
+    ++this->unreportedTurns;
+    this->sendEndTurn(keeper, std::make_shared<const EndTurnNotice>(std::move(notice)), 1);
+}
+
+void Ingress::Impl::sendEndTurn(const FleetMember& keeper, std::shared_ptr<const EndTurnNotice> notice, int report)
+{
+    this->fleet.call(keeper.address, *notice, endTurnLimit,
+        [impl = this->shared_from_this(), keeper, notice, report](const Result<Message>& answer, bool) {
+            if (answer || report == endTurnReports) {
+                --impl->unreportedTurns;
+                if (!answer)
+                    log(LogLevel::Warning, "end of a turn not reported",
+                        { { "program", notice->program }, { "keeper", keeper.name }, { "hold", notice->hold },
+                            { "used", notice->used.value }, { "reason", answer.error().message() } });
+                return;
+            }
+            impl->runtime.after(endTurnPause * (1 << (report - 1)),
+                [impl, keeper, notice, report] { impl->sendEndTurn(keeper, notice, report + 1); });
+        });
+}
+
+void Ingress::Impl::endTurn(EndTurnNotice notice)
+{
+    if (notice.hold.isValid())
+        this->settleTokens(notice.program, notice.hold, notice.used);
+    if (notice.turn)
+        this->addTurn(std::move(*notice.turn), this->partitionOf(notice.program), notice.keepFor);
+}
+
+} // namespace peridotramp
--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -33,11 +33,11 @@
 {
     // A program that has visited many instances still gets one line of bounded length.
     constexpr std::size_t mostOwners = 6;
-    const auto account
-        = this->tokens.with(program.value, [&](const TokenShard& shard) { return shard.ledger->account(program); });
-    auto text = fmt::format("at {}: budget {}, used {}, set aside {} for {} turns, reserved {}", this->owner,
-        account.budget.value, account.used.value, account.setAside.value, account.turnsUnderWay,
-        account.reserved.value);
+    const auto account = this->tokens.with(
+        program.value, [&](const TokenShard& shard) { return shard.ledger->account(program, RuntimeClock::now()); });
+    auto text = fmt::format("at {}: budget {}, used {}, set aside {} for {} turns ({} overdue), reserved {}",
+        this->owner, account.budget.value, account.used.value, account.setAside.value, account.turnsUnderWay,
+        account.turnsOverdue, account.reserved.value);
     const auto reachable = this->fleet.reachable();
     for (const auto& other : account.others | std::views::take(mostOwners)) {
         const auto name = other.owner.substr(0, other.owner.rfind('/'));
@@ -370,11 +370,11 @@
 }
 
 asio::awaitable<Result<ProgramStage>> Ingress::Impl::admitTokens(
-    asio::any_io_executor executor, ProgramId program, TokenCount budget, TokenCount most, TimePoint deadline)
+    asio::any_io_executor executor, ProgramId program, TokenRequest request, TimePoint deadline)
 {
     const auto admit = [&] {
         return this->tokens.with(program.value,
-            [&](TokenShard& shard) { return shard.ledger->admit(program, budget, most, RuntimeClock::now()); });
+            [&](TokenShard& shard) { return shard.ledger->admit(program, request, RuntimeClock::now()); });
     };
     const auto stage = this->tokens.with(program.value, [&](TokenShard& shard) {
         return shard.ledger->hasBegun(program) ? ProgramStage::Continues : ProgramStage::Begins;
@@ -390,7 +390,7 @@
         case TokenVerdict::Covered:
             co_return Result<ProgramStage>(stage);
         case TokenVerdict::Reserve: {
-            auto reserved = co_await this->reserveTokens(executor, program, most, deadline);
+            auto reserved = co_await this->reserveTokens(executor, program, request.most, deadline);
             if (!reserved)
                 co_return Result<ProgramStage>(reserved.error());
             break;
@@ -411,6 +411,8 @@
                 co_return Result<ProgramStage>(reserved.error());
             break;
         }
+        case TokenVerdict::Ended:
+            co_return Result<ProgramStage>(Error { ErrorKind::Cancelled, Outcome::NotRun, "the turn has ended" });
         case TokenVerdict::Spent:
         case TokenVerdict::Count:
             co_return Result<ProgramStage>(
@@ -420,10 +422,10 @@
     co_return Result<ProgramStage>(storeLost());
 }
 
-void Ingress::Impl::settleTokens(ProgramId program, TokenCount most, TokenCount used)
+void Ingress::Impl::settleTokens(ProgramId program, HoldId hold, TokenCount used)
 {
     this->tokens.with(
-        program.value, [&](TokenShard& shard) { shard.ledger->settle(program, most, used, RuntimeClock::now()); });
+        program.value, [&](TokenShard& shard) { shard.ledger->settle(program, hold, used, RuntimeClock::now()); });
 }
 
 void Ingress::Impl::expireBudgets()
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -144,7 +144,7 @@
 void Ingress::Impl::awaitIdle(TimePoint deadline, const std::function<void()>& done)
 {
     const auto unwritten = [this] { return this->turnWriters.waiting() + this->tokenWriters.waiting(); };
-    const bool idle = this->runningRequests == 0 && unwritten() == 0;
+    const bool idle = this->runningRequests == 0 && this->unreportedTurns == 0 && unwritten() == 0;
     if (!idle && RuntimeClock::now() < deadline) {
         this->runtime.after(
             drainCheckPeriod, [impl = this->shared_from_this(), deadline, done] { impl->awaitIdle(deadline, done); });
@@ -152,6 +152,7 @@
     }
     log(LogLevel::Info, "stopping",
         { { "running", std::uint64_t { this->runningRequests } },
+            { "unreported_turns", std::uint64_t { this->unreportedTurns } },
             { "unwritten_records", std::uint64_t { unwritten() } } });
     this->giveBackAll();
     this->withdrawMember(done);
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -208,6 +208,9 @@
     /// Tells the keepers of the other failure domains what this instance knows while the store does not answer: what
     /// the store confirmed last is known to nobody else. Called often, it sends at most every two seconds.
     void shareReservations();
+
+    // beginturn.cpp
+    HoldId nextHold();
     /// Begins a turn at the keeper of its program in this failure domain, or here when the keeper does not answer;
     /// `keeper` is then emptied. Any instance may keep a program: the log decides what holds.
     asio::awaitable<Result<BeginTurnReply>> beginTurnAt(
@@ -215,6 +218,9 @@
     asio::awaitable<Result<BeginTurnReply>> beginTurn(asio::any_io_executor executor, BeginTurnRequest request);
     void endTurnAt(const std::optional<FleetMember>& keeper, EndTurnNotice notice);
     void endTurn(EndTurnNotice notice);
+    /// Reports the end of a turn to an instance that may have set its tokens aside, until it answers.
+    void reportEndTurn(const FleetMember& keeper, EndTurnNotice notice);
+    void sendEndTurn(const FleetMember& keeper, std::shared_ptr<const EndTurnNotice> notice, int report);
 
     // turns.cpp
     void startTurns();
@@ -261,7 +267,7 @@
     void startBudgets();
     /// Sets the most tokens of a turn aside, or gives the error with which it is refused.
     asio::awaitable<Result<ProgramStage>> admitTokens(
-        asio::any_io_executor executor, ProgramId program, TokenCount budget, TokenCount most, TimePoint deadline);
+        asio::any_io_executor executor, ProgramId program, TokenRequest request, TimePoint deadline);
     asio::awaitable<Status> reserveTokens(
         asio::any_io_executor executor, ProgramId program, TokenCount most, TimePoint deadline);
     /// Has a reservation confirmed by the store or, when that does not answer, by other keepers; returns what is
@@ -285,7 +291,7 @@
     /// Returns whether every other holder has given back what it does not need.
     asio::awaitable<bool> reclaimTokens(asio::any_io_executor executor, ProgramId program, TimePoint deadline);
     asio::awaitable<void> giveBackTokens(asio::any_io_executor executor, ProgramId program);
-    void settleTokens(ProgramId program, TokenCount most, TokenCount used);
+    void settleTokens(ProgramId program, HoldId hold, TokenCount used);
     void applyReservations(const std::vector<StoreRecord>& records);
     /// Says for a log line what this instance knows of a program's budget and who holds how much of it.
     std::string describeBudget(ProgramId program);
@@ -332,6 +338,10 @@
     /// Cut off from the store and from all other failure domains.
     std::atomic<bool> isolated = false;
     std::atomic<std::size_t> runningRequests = 0;
+    /// Number of token holds that this process has asked for.
+    std::atomic<std::uint64_t> holds = 0;
+    /// Turns whose end a keeper has not confirmed yet.
+    std::atomic<std::size_t> unreportedTurns = 0;
 
     AllowanceBook allowances;
     /// By service name.
--- a/src/ingress/keepers.cpp
+++ b/src/ingress/keepers.cpp
@@ -6,10 +6,8 @@
 
 namespace {
 
-// Time for a keeper to answer, a reservation in the log and a look for the history included.
-constexpr Milliseconds askKeeperLimit { 900 };
-// Time for which turns are held that another instance keeps; a conversation mostly goes on within seconds.
-constexpr Seconds heldCopyLife { 15 };
+// Time for a keeper to take a notice of reservations.
+constexpr Milliseconds noticeLimit { 900 };
 // Time for which the membership is left to settle before an instance reads what it has come to keep.
 constexpr Milliseconds settleTime { 400 };
 // Time after the store's return in which what instances remembered for each other has been stored.
@@ -22,9 +20,6 @@
 // Least time between two notices of all reservations that an instance knows, which arrive twice within most outages.
 constexpr Milliseconds sharePeriod { 2000 };
 
-// Whether an error says that the other instance did not answer, rather than what it decided.
-bool isLost(ErrorKind kind) { return kind == ErrorKind::ConnectionFailed || kind == ErrorKind::DeadlineExceeded; }
-
 } // namespace
 
 StorePartition Ingress::Impl::partitionOf(ProgramId program) const
@@ -242,8 +237,8 @@
             std::ranges::copy(reservations, std::back_inserter(notices[keeper.address]));
     }
     for (auto& [address, reservations] : notices)
-        this->fleet.call(address, ReservationsNotice { std::move(reservations) }, askKeeperLimit,
-            [](const Result<Message>&, bool) { });
+        this->fleet.call(
+            address, ReservationsNotice { std::move(reservations) }, noticeLimit, [](const Result<Message>&, bool) { });
 }
 
 void Ingress::Impl::handOver(StorePartition partition, const FleetMember& keeper)
@@ -252,7 +247,7 @@
     log(LogLevel::Info, "partition handed over",
         { { "partition", partition.value }, { "keeper", keeper.name },
             { "reservations", std::uint64_t { notice.reservations.size() } } });
-    this->fleet.call(keeper.address, std::move(notice), askKeeperLimit, [](const Result<Message>&, bool) { });
+    this->fleet.call(keeper.address, std::move(notice), noticeLimit, [](const Result<Message>&, bool) { });
 }
 
 void Ingress::Impl::takeHandover(const HandoverNotice& notice)
@@ -266,81 +261,4 @@
         found->second.complete = true;
 }
 
-asio::awaitable<Result<BeginTurnReply>> Ingress::Impl::beginTurnAt(
-    asio::any_io_executor executor, std::optional<FleetMember>& keeper, BeginTurnRequest request)
-{
-    const auto deadline = RuntimeClock::now() + request.timeLeft;
-    if (keeper) {
-        using Answer = Result<BeginTurnReply>;
-        const std::function<void(std::function<void(Answer)>)> start = [&](std::function<void(Answer)> hook) {
-            this->fleet.call(
-                keeper->address, request, askKeeperLimit, [hook = std::move(hook)](Result<Message> answer, bool) {
-                    auto* reply = answer ? std::get_if<BeginTurnReply>(&answer.value()) : nullptr;
-                    if (reply)
-                        hook(std::move(*reply));
-                    else
-                        hook(answer ? Error { ErrorKind::ConnectionFailed } : answer.error());
-                });
-        };
-        auto answer = co_await resultOf<Answer>(executor, deadline, start);
-        const bool answered = answer && (*answer || !isLost(answer->error().kind));
-        if (answered) {
-            if (*answer) {
-                for (auto& turn : answer->value().history)
-                    this->addTurn(std::move(turn), std::nullopt, heldCopyLife);
-            }
-            co_return std::move(*answer);
-        }
-        log(LogLevel::Warning, "keeper does not answer",
-            { { "program", request.program }, { "keeper", keeper->name },
-                { "reason", answer ? toString(answer->error().kind) : "deadline of the request" },
-                { "most", request.most.value } });
-        keeper.reset();
-        request.timeLeft = std::chrono::duration_cast<Milliseconds>(deadline - RuntimeClock::now());
-    }
-    auto begun = co_await this->beginTurn(executor, std::move(request));
-    co_return begun;
-}
-
-asio::awaitable<Result<BeginTurnReply>> Ingress::Impl::beginTurn(
-    asio::any_io_executor executor, BeginTurnRequest request)
-{
-    const auto deadline = RuntimeClock::now() + request.timeLeft;
-    if (!request.previousTurn.empty()) {
-        const auto history
-            = co_await this->historyOf(executor, request.program, request.previousTurn, request.workspace, deadline);
-        if (!history)
-            co_return Result<BeginTurnReply>(history.error());
-    }
-    BeginTurnReply reply;
-    if (request.budget) {
-        const auto admitted
-            = co_await this->admitTokens(executor, request.program, *request.budget, request.most, deadline);
-        if (!admitted)
-            co_return Result<BeginTurnReply>(admitted.error());
-        reply.stage = *admitted;
-    }
-    co_return Result<BeginTurnReply>(std::move(reply));
-}
-
-void Ingress::Impl::endTurnAt(const std::optional<FleetMember>& keeper, EndTurnNotice notice)
-{
-    if (!keeper) {
-        this->endTurn(std::move(notice));
-        return;
-    }
-    // A notice that is lost leaves the tokens set aside, so the budget holds all the same; the turn is found here.
-    if (notice.turn)
-        this->addTurn(*notice.turn, std::nullopt, heldCopyLife);
-    this->fleet.call(keeper->address, std::move(notice), askKeeperLimit, [](const Result<Message>&, bool) { });
-}
-
-void Ingress::Impl::endTurn(EndTurnNotice notice)
-{
-    if (notice.most.value > 0 || notice.used.value > 0)
-        this->settleTokens(notice.program, notice.most, notice.used);
-    if (notice.turn)
-        this->addTurn(std::move(*notice.turn), this->partitionOf(notice.program), notice.keepFor);
-}
-
 } // namespace peridotramp
--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -215,7 +215,7 @@
     }
     // The asking instance goes on without this one when it has not waited for the answer.
     if (!reply.send(std::move(begun.value())) && request.budget)
-        impl.settleTokens(request.program, request.most, {});
+        impl.settleTokens(request.program, request.hold, {});
 }
 
 asio::awaitable<void> answerLease(
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -121,6 +121,7 @@
             const auto unit = target && target->engine ? target->engine->tokensPerEvent : TokenCount { 1 };
             begin.budget = this->request.budget;
             begin.most = roundedUp(this->request.mostTokens, unit);
+            begin.hold = this->ingress->nextHold();
         }
         this->keeper = this->ingress->keeperOf(this->program);
         const auto begun = co_await this->ingress->beginTurnAt(this->executor, this->keeper, begin);
@@ -128,7 +129,7 @@
             this->refuse(begun.error());
             co_return false;
         }
-        this->setAside = begin.most;
+        this->hold = begin.hold;
         this->stage = begun->stage;
         if (lacksHistory)
             history = this->ingress->heldHistory(this->request.previousTurn);
@@ -143,10 +144,10 @@
 
 void RequestRun::endTurn(std::optional<ConversationTurn> turn)
 {
-    if (this->setAside.value == 0 && this->handed.value == 0 && !turn)
+    if (!this->hold.isValid() && !turn)
         return;
-    EndTurnNotice notice { this->program, std::exchange(this->setAside, {}), std::exchange(this->handed, {}),
-        std::move(turn), this->route.retention };
+    EndTurnNotice notice { this->program, std::exchange(this->hold, {}), this->handed, std::move(turn),
+        this->route.retention };
     this->ingress->endTurnAt(this->keeper, std::move(notice));
 }
 
--- a/src/ingress/request_p.h
+++ b/src/ingress/request_p.h
@@ -87,7 +87,8 @@
     // Instance that keeps the program; empty for this one.
     std::optional<FleetMember> keeper {};
     ProgramStage stage = ProgramStage::Continues;
-    TokenCount setAside {};
+    // Names the tokens that are set aside for the turn; invalid when there are none or the turn has ended.
+    HoldId hold {};
     TokenCount handed {};
     std::vector<std::string> excluded {};
     // Endpoints that may have run the request.
--- a/src/nodes/messages_p.h
+++ b/src/nodes/messages_p.h
@@ -261,7 +261,8 @@
 
 template <typename Archive> void serialize(Archive& archive, BeginTurnRequest& message)
 {
-    archive(message.program, message.workspace, message.budget, message.most, message.timeLeft, message.previousTurn);
+    archive(message.program, message.workspace, message.hold, message.budget, message.most);
+    archive(message.patience, message.timeLeft, message.previousTurn);
 }
 
 template <typename Archive> void serialize(Archive& archive, BeginTurnReply& message)
@@ -272,7 +273,7 @@
 
 template <typename Archive> void serialize(Archive& archive, EndTurnNotice& message)
 {
-    archive(message.program, message.most, message.used, message.turn, message.keepFor);
+    archive(message.program, message.hold, message.used, message.turn, message.keepFor);
 }
 
 template <typename Archive> void serialize(Archive& archive, GiveBackRequest& message) { archive(message.program); }
--- a/tests/ingress/fakestore.h
+++ b/tests/ingress/fakestore.h
@@ -22,6 +22,13 @@
         this->mode = mode;
     }
 
+    /// Makes appends take effect at once and be answered after a delay.
+    void setAppendDelay(Milliseconds delay)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->appendDelay = delay;
+    }
+
     void put(StoreTopic topic, StorePartition partition, std::string key, std::string value)
     {
         const std::scoped_lock lock(this->mutex);
@@ -90,7 +97,10 @@
         const Offset first { this->logs[{ topic, partition }].records.size() };
         for (const auto& record : records)
             this->addRecord(topic, partition, record);
-        this->runtime.post([hook = std::move(hook), first] { hook(first); });
+        if (this->appendDelay > Milliseconds(0))
+            this->runtime.after(this->appendDelay, [hook = std::move(hook), first] { hook(first); });
+        else
+            this->runtime.post([hook = std::move(hook), first] { hook(first); });
     }
 
     void read(StoreTopic topic, StorePartition partition, Offset from, TimePoint deadline,
@@ -129,6 +139,7 @@
     Runtime& runtime;
     std::mutex mutex;
     Mode mode = Mode::Serving;
+    Milliseconds appendDelay { 0 };
     std::map<Place, Log> logs;
 };
 
--- a/tests/tokens/tokens.cpp
+++ b/tests/tokens/tokens.cpp
@@ -9,44 +9,94 @@
 
 const TimePoint start { Seconds(100) };
 const ProgramId program { 7 };
+const TimePoint turnEnd = start + Seconds(3);
+
+TokenRequest turn(std::uint64_t hold, TokenCount budget, TokenCount most)
+{
+    return { { hold }, budget, most, turnEnd };
+}
 
 } // namespace
 
 TEST_CASE("a turn runs only under a confirmed reservation")
 {
     TokenLedger ledger({ "a/1" });
-    REQUIRE(ledger.admit(program, { 1000 }, { 100 }, start) == TokenVerdict::Reserve);
+    REQUIRE(ledger.admit(program, turn(1, { 1000 }, { 100 }), start) == TokenVerdict::Reserve);
     const auto reservation = ledger.request(program, { 100 });
     REQUIRE(reservation.reserved >= TokenCount { 100 });
     REQUIRE(reservation.reserved <= TokenCount { 1000 });
-    REQUIRE(ledger.admit(program, { 1000 }, { 100 }, start) == TokenVerdict::Reserve);
+    REQUIRE(ledger.admit(program, turn(1, { 1000 }, { 100 }), start) == TokenVerdict::Reserve);
     ledger.confirm(reservation);
-    REQUIRE(ledger.admit(program, { 1000 }, { 100 }, start) == TokenVerdict::Covered);
+    REQUIRE(ledger.admit(program, turn(1, { 1000 }, { 100 }), start) == TokenVerdict::Covered);
 }
 
 TEST_CASE("a budget that turns under way may use up is spent until they have ended with less")
 {
     TokenLedger ledger({ "a/1" });
-    ledger.admit(program, { 200 }, { 100 }, start);
+    ledger.admit(program, turn(1, { 200 }, { 100 }), start);
     ledger.confirm({ program, "a/1", { 200 }, {}, ledger.request(program, { 100 }).revision });
-    REQUIRE(ledger.admit(program, { 200 }, { 100 }, start) == TokenVerdict::Covered);
-    REQUIRE(ledger.admit(program, { 200 }, { 100 }, start) == TokenVerdict::Covered);
-    REQUIRE(ledger.admit(program, { 200 }, { 100 }, start) == TokenVerdict::Spent);
-    ledger.settle(program, { 100 }, { 0 }, start);
-    REQUIRE(ledger.admit(program, { 200 }, { 100 }, start) == TokenVerdict::Covered);
+    REQUIRE(ledger.admit(program, turn(1, { 200 }, { 100 }), start) == TokenVerdict::Covered);
+    REQUIRE(ledger.admit(program, turn(2, { 200 }, { 100 }), start) == TokenVerdict::Covered);
+    REQUIRE(ledger.admit(program, turn(3, { 200 }, { 100 }), start) == TokenVerdict::Spent);
+    ledger.settle(program, { 1 }, { 0 }, start);
+    REQUIRE(ledger.admit(program, turn(3, { 200 }, { 100 }), start) == TokenVerdict::Covered);
 }
 
 // Guards against tokens that are handed out although they were given back while the log was read.
 TEST_CASE("a reservation that was given back before it was confirmed does not count")
 {
     TokenLedger ledger({ "a/1" });
-    ledger.admit(program, { 1000 }, { 100 }, start);
+    ledger.admit(program, turn(1, { 1000 }, { 100 }), start);
     const auto first = ledger.request(program, { 100 });
     ledger.confirm(first);
     const auto second = ledger.request(program, { 300 });
     REQUIRE(ledger.giveBack(program, start));
     ledger.confirm(second);
-    REQUIRE(ledger.admit(program, { 1000 }, { 100 }, start) == TokenVerdict::Reserve);
+    REQUIRE(ledger.admit(program, turn(1, { 1000 }, { 100 }), start) == TokenVerdict::Reserve);
+}
+
+// Guards against a budget that stays used up by a turn that never ran: the instance with its request stopped waiting
+// before the tokens were set aside.
+TEST_CASE("the end of a turn that is reported before its tokens are set aside keeps the budget free")
+{
+    TokenLedger ledger({ "a/1" });
+    REQUIRE(ledger.admit(program, turn(1, { 100 }, { 100 }), start) == TokenVerdict::Reserve);
+    const auto reservation = ledger.request(program, { 100 });
+    ledger.settle(program, { 1 }, {}, start);
+    ledger.confirm(reservation);
+    REQUIRE(ledger.admit(program, turn(1, { 100 }, { 100 }), start) == TokenVerdict::Ended);
+    REQUIRE(ledger.admit(program, turn(2, { 100 }, { 100 }), start) == TokenVerdict::Covered);
+}
+
+// Guards against tokens that count twice, as used or as released, because a report is repeated until it is answered.
+TEST_CASE("a turn whose end is reported twice counts once")
+{
+    TokenLedger ledger({ "a/1" });
+    REQUIRE(ledger.admit(program, turn(1, { 200 }, { 100 }), start) == TokenVerdict::Reserve);
+    ledger.confirm({ program, "a/1", { 200 }, {}, ledger.request(program, { 200 }).revision });
+    REQUIRE(ledger.admit(program, turn(1, { 200 }, { 100 }), start) == TokenVerdict::Covered);
+    REQUIRE(ledger.admit(program, turn(1, { 200 }, { 100 }), start) == TokenVerdict::Covered);
+    REQUIRE(ledger.account(program, start).setAside == TokenCount { 100 });
+    REQUIRE(ledger.account(program, turnEnd + Milliseconds(1)).turnsOverdue == 1);
+    for (int report = 0; report < 2; ++report)
+        ledger.settle(program, { 1 }, { 40 }, start);
+    REQUIRE(ledger.account(program, start).used == TokenCount { 40 });
+    REQUIRE(ledger.account(program, start).setAside == TokenCount { 0 });
+    REQUIRE(ledger.admit(program, turn(2, { 200 }, { 160 }), start) == TokenVerdict::Covered);
+}
+
+// Guards against accounts that stay in memory for good because the end of a turn was never reported.
+TEST_CASE("an account whose turn never ends in a report expires")
+{
+    TokenLedger ledger({ "a/1" });
+    ledger.admit(program, turn(1, { 200 }, { 100 }), start);
+    ledger.confirm(ledger.request(program, { 100 }));
+    REQUIRE(ledger.admit(program, turn(1, { 200 }, { 100 }), start) == TokenVerdict::Covered);
+    // The turn may still be under way.
+    REQUIRE(ledger.expire(start + Seconds(1)).empty());
+    REQUIRE(ledger.size() == 1);
+    REQUIRE(ledger.expire(turnEnd + Seconds(1)).size() == 1);
+    REQUIRE(ledger.size() == 0);
 }
 
 // Guards against a reservation that stands in the log though its instance gave up on it: unless it is given back, no
@@ -54,7 +104,7 @@
 TEST_CASE("a reservation whose fate in the log is unknown is given back when asked for")
 {
     TokenLedger ledger({ "a/1" });
-    REQUIRE(ledger.admit(program, { 1000 }, { 100 }, start) == TokenVerdict::Reserve);
+    REQUIRE(ledger.admit(program, turn(1, { 1000 }, { 100 }), start) == TokenVerdict::Reserve);
     const auto lost = ledger.request(program, { 100 });
     REQUIRE_FALSE(ledger.giveBack(program, start));
     ledger.abandon(program);
@@ -65,7 +115,7 @@
     REQUIRE_FALSE(ledger.giveBack(program, start));
     // A turn that is admitted later is not handed out from the record that was given back.
     ledger.confirm(lost);
-    REQUIRE(ledger.admit(program, { 1000 }, { 100 }, start) == TokenVerdict::Reserve);
+    REQUIRE(ledger.admit(program, turn(1, { 1000 }, { 100 }), start) == TokenVerdict::Reserve);
 }
 
 // Guards against programs that can never go on after every instance has been restarted: what the lost ones had reserved
@@ -79,29 +129,29 @@
         TokenLedger ledger({ owner });
         for (const auto& record : log)
             ledger.apply(record, start);
-        REQUIRE(ledger.admit(program, budget, most, start) == TokenVerdict::Reserve);
+        REQUIRE(ledger.admit(program, turn(1, budget, most), start) == TokenVerdict::Reserve);
         log.push_back(ledger.request(program, most));
         ledger.confirm(log.back());
-        REQUIRE(ledger.admit(program, budget, most, start) == TokenVerdict::Covered);
-        ledger.settle(program, most, { 150 }, start);
+        REQUIRE(ledger.admit(program, turn(1, budget, most), start) == TokenVerdict::Covered);
+        ledger.settle(program, { 1 }, { 150 }, start);
     }
     TokenLedger restarted({ "a/2" });
     for (const auto& record : log)
         restarted.apply(record, start);
-    REQUIRE(restarted.admit(program, budget, most, start) == TokenVerdict::Reserve);
+    REQUIRE(restarted.admit(program, turn(1, budget, most), start) == TokenVerdict::Reserve);
 }
 
 TEST_CASE("tokens that others hold unused are reclaimed, and used ones are spent")
 {
     TokenLedger ledger({ "a/1" });
     ledger.apply({ program, "b/1", { 900 }, { 100 }, 1 }, start);
-    REQUIRE(ledger.admit(program, { 1000 }, { 200 }, start) == TokenVerdict::Reclaim);
+    REQUIRE(ledger.admit(program, turn(1, { 1000 }, { 200 }), start) == TokenVerdict::Reclaim);
     REQUIRE(ledger.holders(program) == std::vector<std::string> { "b/1" });
     ledger.apply({ program, "b/1", { 900 }, { 900 }, 2 }, start);
-    REQUIRE(ledger.admit(program, { 1000 }, { 200 }, start) == TokenVerdict::Spent);
+    REQUIRE(ledger.admit(program, turn(1, { 1000 }, { 200 }), start) == TokenVerdict::Spent);
     // A record that arrives late does not replace a newer one.
     ledger.apply({ program, "b/1", { 0 }, { 0 }, 1 }, start);
-    REQUIRE(ledger.admit(program, { 1000 }, { 200 }, start) == TokenVerdict::Spent);
+    REQUIRE(ledger.admit(program, turn(1, { 1000 }, { 200 }), start) == TokenVerdict::Spent);
 }
 
 namespace {
@@ -148,7 +198,7 @@
     struct Node {
         std::unique_ptr<TokenLedger> ledger;
         std::size_t read = 0;
-        int running = 0;
+        std::vector<HoldId> running;
     };
 
     static constexpr TokenCount budget { 2000 };
@@ -160,8 +210,8 @@
             this->nodes.resize(index + 1);
         auto& node = this->nodes[index];
         // Callers of a killed instance may have received all of what its turns could generate.
-        this->handedOut += node.running * most.value;
-        node = { std::make_unique<TokenLedger>(TokenLedger::Init { std::to_string(++this->incarnations) }), 0, 0 };
+        this->handedOut += static_cast<std::int64_t>(node.running.size()) * most.value;
+        node = { std::make_unique<TokenLedger>(TokenLedger::Init { std::to_string(++this->incarnations) }), 0, {} };
     }
 
     void readLog(Node& node)
@@ -172,26 +222,39 @@
 
     void begin(Node& node)
     {
-        if (node.ledger->admit(program, budget, most, start) == TokenVerdict::Covered) {
-            ++node.running;
+        const auto wanted = turn(++this->holds, budget, most);
+        if (this->admit(node, wanted))
             return;
-        }
         const auto reservation = node.ledger->request(program, most);
         this->log.push_back(reservation);
         this->readLog(node);
         if (this->random() % 8 != 0)
             node.ledger->confirm(reservation);
-        if (node.ledger->admit(program, budget, most, start) == TokenVerdict::Covered)
-            ++node.running;
+        // Nobody may wait for the tokens any more; the report of the turn's end then comes before or after them.
+        if (this->random() % 6 == 0)
+            node.ledger->settle(program, wanted.hold, {}, start);
+        this->admit(node, wanted);
+    }
+
+    bool admit(Node& node, const TokenRequest& wanted)
+    {
+        if (node.ledger->admit(program, wanted, start) != TokenVerdict::Covered)
+            return false;
+        node.running.push_back(wanted.hold);
+        return true;
     }
 
     void end(Node& node)
     {
-        if (node.running == 0)
+        if (node.running.empty())
             return;
-        --node.running;
+        const auto hold = node.running.back();
+        node.running.pop_back();
         const TokenCount used { static_cast<std::int64_t>(this->random() % static_cast<unsigned>(most.value + 1)) };
-        node.ledger->settle(program, most, used, start);
+        // A report whose answer was lost is sent again.
+        const int reports = this->random() % 4 == 0 ? 2 : 1;
+        for (int report = 0; report < reports; ++report)
+            node.ledger->settle(program, hold, used, start);
         this->handedOut += used.value;
     }
 
@@ -199,6 +262,7 @@
     std::vector<Node> nodes;
     std::vector<TokenReservation> log;
     int incarnations = 0;
+    std::uint64_t holds = 0;
 };
 
 } // namespace
