--- a/src/ingress/beginturn.cpp
+++ b/src/ingress/beginturn.cpp
@@ -11,10 +11,11 @@
 // Time for which turns are held that another instance keeps; a conversation mostly goes on within seconds.
 constexpr Seconds heldCopyLife { 15 };
 constexpr Milliseconds endTurnLimit { 500 };
-// Pause before the end of a turn is reported again; it doubles. The last report goes out some seconds after the first,
-// when a keeper that was busy or cut off for a moment answers again.
-constexpr Milliseconds endTurnPause { 200 };
-constexpr int endTurnReports = 5;
+// Bounds of the pause before the end of a turn is reported again; it doubles.
+constexpr Milliseconds leastEndTurnPause { 200 };
+constexpr Milliseconds mostEndTurnPause { 1600 };
+// The last report goes out more than ten seconds after the first, when a keeper that was cut off mostly answers again.
+constexpr int endTurnReports = 9;
 
 // Whether an error says that the other instance did not answer, rather than what it decided.
 bool isLost(ErrorKind kind) { return kind == ErrorKind::ConnectionFailed || kind == ErrorKind::DeadlineExceeded; }
@@ -117,8 +118,9 @@
                             { "used", notice->used.value }, { "reason", answer.error().message() } });
                 return;
             }
-            impl->runtime.after(endTurnPause * (1 << (report - 1)),
-                [impl, keeper, notice, report] { impl->sendEndTurn(keeper, notice, report + 1); });
+            const auto pause = std::min(mostEndTurnPause, leastEndTurnPause * (1 << (report - 1)));
+            impl->runtime.after(
+                pause, [impl, keeper, notice, report] { impl->sendEndTurn(keeper, notice, report + 1); });
         });
 }
 
