--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <ranges>
 
 namespace peridotramp {
 
@@ -28,6 +29,31 @@
 
 } // namespace
 
+std::string Ingress::Impl::describeBudget(ProgramId program)
+{
+    // A program that has visited many instances still gets one line of bounded length.
+    constexpr std::size_t mostOwners = 6;
+    const auto account = this->tokens.with(
+        program.value, [&](const TokenShard& shard) { return shard.ledger->account(program, RuntimeClock::now()); });
+    auto text = fmt::format("at {}: budget {}, used {}, set aside {} for {} turns ({} overdue), reserved {}",
+        this->owner, account.budget.value, account.used.value, account.setAside.value, account.turnsUnderWay,
+        account.turnsOverdue, account.reserved.value);
+    const auto reachable = this->fleet.reachable();
+    for (const auto& other : account.others | std::views::take(mostOwners)) {
+        const auto name = other.owner.substr(0, other.owner.rfind('/'));
+        const bool isReached
+            = std::ranges::any_of(reachable, [&](const Peer& peer) { return peer.member.name == name; });
+        text += fmt::format("; {} ({}): used {} of {}", other.owner,
+            name == this->init.name ? "earlier incarnation"
+                : isReached         ? "reached"
+                                    : "not reached",
+            other.used.value, other.reserved.value);
+    }
+    if (account.others.size() > mostOwners)
+        text += fmt::format("; {} more owners", account.others.size() - mostOwners);
+    return text;
+}
+
 std::string Ingress::Impl::reservationKey(ProgramId program) const
 {
     return fmt::format("{:x}/{}", program.value, this->owner);
@@ -344,11 +370,11 @@
 }
 
 asio::awaitable<Result<ProgramStage>> Ingress::Impl::admitTokens(
-    asio::any_io_executor executor, ProgramId program, TokenCount budget, TokenCount most, TimePoint deadline)
+    asio::any_io_executor executor, ProgramId program, TokenRequest request, TimePoint deadline)
 {
     const auto admit = [&] {
         return this->tokens.with(program.value,
-            [&](TokenShard& shard) { return shard.ledger->admit(program, budget, most, RuntimeClock::now()); });
+            [&](TokenShard& shard) { return shard.ledger->admit(program, request, RuntimeClock::now()); });
     };
     const auto stage = this->tokens.with(program.value, [&](TokenShard& shard) {
         return shard.ledger->hasBegun(program) ? ProgramStage::Continues : ProgramStage::Begins;
@@ -364,7 +390,7 @@
         case TokenVerdict::Covered:
             co_return Result<ProgramStage>(stage);
         case TokenVerdict::Reserve: {
-            auto reserved = co_await this->reserveTokens(executor, program, most, deadline);
+            auto reserved = co_await this->reserveTokens(executor, program, request.most, deadline);
             if (!reserved)
                 co_return Result<ProgramStage>(reserved.error());
             break;
@@ -372,10 +398,12 @@
         case TokenVerdict::Reclaim: {
             // What is held after all holders have given back is set aside for turns under way.
             if (reclaimed)
-                co_return Result<ProgramStage>(Error { ErrorKind::BudgetExceeded, Outcome::NotRun, "turns under way" });
+                co_return Result<ProgramStage>(Error {
+                    ErrorKind::BudgetExceeded, Outcome::NotRun, "turns under way; " + this->describeBudget(program) });
             if (!co_await this->reclaimTokens(executor, program, deadline))
                 co_return Result<ProgramStage>(Error { ErrorKind::LogUnavailable, Outcome::NotRun,
-                    "tokens held by an instance that does not answer", retryAfterStoreLoss });
+                    "tokens held by an instance that does not answer; " + this->describeBudget(program),
+                    retryAfterStoreLoss });
             reclaimed = true;
             // The records of what was given back stand before the end of the log as it is now.
             auto reserved = co_await this->reserveTokens(executor, program, TokenCount {}, deadline);
@@ -383,18 +411,21 @@
                 co_return Result<ProgramStage>(reserved.error());
             break;
         }
+        case TokenVerdict::Ended:
+            co_return Result<ProgramStage>(Error { ErrorKind::Cancelled, Outcome::NotRun, "the turn has ended" });
         case TokenVerdict::Spent:
         case TokenVerdict::Count:
-            co_return Result<ProgramStage>(Error { ErrorKind::BudgetExceeded, Outcome::NotRun });
+            co_return Result<ProgramStage>(
+                Error { ErrorKind::BudgetExceeded, Outcome::NotRun, "spent; " + this->describeBudget(program) });
         }
     }
     co_return Result<ProgramStage>(storeLost());
 }
 
-void Ingress::Impl::settleTokens(ProgramId program, TokenCount most, TokenCount used)
+void Ingress::Impl::settleTokens(ProgramId program, HoldId hold, TokenCount used)
 {
     this->tokens.with(
-        program.value, [&](TokenShard& shard) { shard.ledger->settle(program, most, used, RuntimeClock::now()); });
+        program.value, [&](TokenShard& shard) { shard.ledger->settle(program, hold, used, RuntimeClock::now()); });
 }
 
 void Ingress::Impl::expireBudgets()
