Answer 503, not 402, while a keeper cannot say yet what it gives back; keep accounts that go on elsewhere

A program could get 402, which ends it, although nothing of its budget was used: its keeper answered 'given back' while a reservation of it was being confirmed, and the asking instance took what was left for turns under way. The answer now says whether more will be given back, and the refusal is then 503 with a time to come back.

An account was forgotten 90 s after its first foreign record, also while newer ones arrived; as records are read once, the budget would have been handed out again to a program that goes on longer than that. The time now counts from the newest record.

The ingress test for it needs the new reply.

--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -242,7 +242,7 @@
     std::optional<TokenCount> budget;
     TokenCount most;
     /// Time for which the asking instance waits for the answer.
-    Milliseconds patience { 0 };
+    Milliseconds answerTimeout { 0 };
     /// Time for which the turn may go on.
     Milliseconds timeLeft { 0 };
     /// Turn whose history is asked for; empty when the asking instance needs none.
@@ -273,6 +273,12 @@
     ProgramId program;
 };
 
+struct GiveBackReply {
+    /// False while a reservation of the answering instance is being confirmed: what it holds then is more than its
+    /// turns need, and is given back later.
+    bool complete = false;
+};
+
 /// Tells the keeper of a program in another failure domain of a reservation that the metadata store has not confirmed.
 struct ReservationCopy {
     TokenReservation reservation;
@@ -463,7 +469,7 @@
     ConfigurationReply, TableQuery, TableReply, HistoryRequest, HistoryReply, TurnCopy, GiveBackRequest,
     BeginTurnRequest, BeginTurnReply, EndTurnNotice, StoreCallRequest, StoreCallReply, LeaseRequest, LeaseReply,
     RoomRequest, RoomReply, MembersRequest, MembersReply, ReservationCopy, ReservationCopyReply, HandoverNotice,
-    StateRequest, StateReply, ReservationsNotice, PartitionRequest, PartitionReply>;
+    StateRequest, StateReply, ReservationsNotice, PartitionRequest, PartitionReply, GiveBackReply>;
 
 /// A message of a request or of its answer.
 struct Frame {
--- a/include/peridotramp/tokens.h
+++ b/include/peridotramp/tokens.h
@@ -102,6 +102,9 @@
     /// Lowers the reservation of this instance to what is used and set aside. Returns the record to append, or nothing
     /// when there is nothing to give back.
     std::optional<TokenReservation> giveBack(ProgramId program, TimePoint now);
+    /// Whether a reservation of this instance is being confirmed, so that it is not known yet how much can be given
+    /// back.
+    bool isReserving(ProgramId program) const;
     /// Owners other than this one with a reservation of the program that is not wholly used.
     std::vector<std::string> holders(ProgramId program) const;
     /// Drops programs unused since `before` and returns the keys of this instance's entries of the log.
--- a/src/decisions/tokens/tokens.cpp
+++ b/src/decisions/tokens/tokens.cpp
@@ -104,11 +104,12 @@
     if (record.owner == this->init.owner)
         return;
     auto& account = this->programs[record.program];
-    if (account.lastUse == TimePoint {})
-        account.lastUse = now;
     auto& known = account.others[record.owner];
-    if (known.revision <= record.revision)
-        known = record;
+    if (known.revision > record.revision)
+        return;
+    // The program goes on elsewhere. What others hold must not be forgotten while it does, as it is read only once.
+    account.lastUse = now;
+    known = record;
 }
 
 void TokenLedger::settle(ProgramId program, HoldId hold, TokenCount used, TimePoint now)
@@ -140,6 +141,12 @@
     return TokenReservation { program, this->init.owner, account.ownReserved, account.ownUsed, ++account.ownRevision };
 }
 
+bool TokenLedger::isReserving(ProgramId program) const
+{
+    const auto found = this->programs.find(program);
+    return found != this->programs.end() && found->second.ownRequested > found->second.ownReserved;
+}
+
 std::vector<std::string> TokenLedger::holders(ProgramId program) const
 {
     std::vector<std::string> owners;
--- a/src/ingress/beginturn.cpp
+++ b/src/ingress/beginturn.cpp
@@ -15,13 +15,14 @@
 constexpr Milliseconds leastEndTurnPause { 200 };
 constexpr Milliseconds mostEndTurnPause { 1600 };
 // The last report goes out more than ten seconds after the first, when a keeper that was cut off mostly answers again.
-constexpr int endTurnReports = 9;
+constexpr int endTurnReports = 10;
 
 // Whether an error says that the other instance did not answer, rather than what it decided.
 bool isLost(ErrorKind kind) { return kind == ErrorKind::ConnectionFailed || kind == ErrorKind::DeadlineExceeded; }
 
 } // namespace
 
+// The upper half of the numbers is left out, as the greatest one stands for no hold.
 HoldId Ingress::Impl::nextHold() { return { hashBytes(this->owner, ++this->holds) >> 1 }; }
 
 asio::awaitable<Result<BeginTurnReply>> Ingress::Impl::beginTurnAt(
@@ -29,11 +30,11 @@
 {
     const auto deadline = RuntimeClock::now() + request.timeLeft;
     if (keeper) {
-        request.patience = std::min(request.timeLeft, askKeeperLimit);
+        request.answerTimeout = std::min(request.timeLeft, askKeeperLimit);
         using Answer = Result<BeginTurnReply>;
         const std::function<void(std::function<void(Answer)>)> start = [&](std::function<void(Answer)> hook) {
-            this->fleet.call(
-                keeper->address, request, request.patience, [hook = std::move(hook)](Result<Message> answer, bool) {
+            this->fleet.call(keeper->address, request, request.answerTimeout,
+                [hook = std::move(hook)](Result<Message> answer, bool) {
                     auto* reply = answer ? std::get_if<BeginTurnReply>(&answer.value()) : nullptr;
                     if (reply)
                         hook(std::move(*reply));
@@ -61,7 +62,7 @@
         keeper.reset();
         request.timeLeft = std::chrono::duration_cast<Milliseconds>(deadline - RuntimeClock::now());
     }
-    request.patience = request.timeLeft;
+    request.answerTimeout = request.timeLeft;
     auto begun = co_await this->beginTurn(executor, std::move(request));
     co_return begun;
 }
@@ -70,7 +71,7 @@
     asio::any_io_executor executor, BeginTurnRequest request)
 {
     const auto now = RuntimeClock::now();
-    const auto deadline = now + request.patience;
+    const auto deadline = now + request.answerTimeout;
     if (!request.previousTurn.empty()) {
         const auto history
             = co_await this->historyOf(executor, request.program, request.previousTurn, request.workspace, deadline);
--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -342,21 +342,24 @@
             members.push_back(peer->member);
     }
     const auto answers
-        = askEach<DoneMessage>(executor, this->fleet, members, GiveBackRequest { program }, giveBackLimit);
+        = askEach<GiveBackReply>(executor, this->fleet, members, GiveBackRequest { program }, giveBackLimit);
     for (std::size_t index = 0; index < members.size(); ++index) {
         const auto answer = co_await answers.next(std::min(deadline, RuntimeClock::now() + giveBackLimit));
-        all = answer && *answer && all;
+        all = answer && *answer && (*answer)->complete && all;
     }
     co_return all;
 }
 
-asio::awaitable<void> Ingress::Impl::giveBackTokens(asio::any_io_executor executor, ProgramId program)
+asio::awaitable<bool> Ingress::Impl::giveBackTokens(asio::any_io_executor executor, ProgramId program)
 {
     // This must not wait for an admission that is under way: two instances may ask each other at the same time.
-    const auto lowered = this->tokens.with(
-        program.value, [&](TokenShard& shard) { return shard.ledger->giveBack(program, RuntimeClock::now()); });
+    bool isReserving = false;
+    const auto lowered = this->tokens.with(program.value, [&](TokenShard& shard) {
+        isReserving = shard.ledger->isReserving(program);
+        return shard.ledger->giveBack(program, RuntimeClock::now());
+    });
     if (!lowered)
-        co_return;
+        co_return !isReserving;
     const std::vector<StoreRecord> records { { this->reservationKey(program), encodeReservation(*lowered), {} } };
     const std::function<void(MetadataStore::AppendHook)> start = [&](MetadataStore::AppendHook hook) {
         this->store.append(StoreTopic::TokenReservations, this->partitionOf(program), records, std::move(hook));
@@ -367,6 +370,7 @@
         this->tokens.with(program.value, [&](TokenShard& shard) { shard.ledger->abandon(program); });
     log(LogLevel::Info, "tokens given back",
         { { "program", program }, { "reserved", lowered->reserved.value }, { "stored", stored ? "yes" : "no" } });
+    co_return true;
 }
 
 asio::awaitable<Result<ProgramStage>> Ingress::Impl::admitTokens(
@@ -402,7 +406,7 @@
                     ErrorKind::BudgetExceeded, Outcome::NotRun, "turns under way; " + this->describeBudget(program) });
             if (!co_await this->reclaimTokens(executor, program, deadline))
                 co_return Result<ProgramStage>(Error { ErrorKind::LogUnavailable, Outcome::NotRun,
-                    "tokens held by an instance that does not answer; " + this->describeBudget(program),
+                    "tokens held by an instance that does not give them back yet; " + this->describeBudget(program),
                     retryAfterStoreLoss });
             reclaimed = true;
             // The records of what was given back stand before the end of the log as it is now.
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -290,7 +290,8 @@
     void advanceReservationCursor(StorePartition partition, Offset next);
     /// Returns whether every other holder has given back what it does not need.
     asio::awaitable<bool> reclaimTokens(asio::any_io_executor executor, ProgramId program, TimePoint deadline);
-    asio::awaitable<void> giveBackTokens(asio::any_io_executor executor, ProgramId program);
+    /// Gives back what no turn of the program needs. Returns false when more will be given back later.
+    asio::awaitable<bool> giveBackTokens(asio::any_io_executor executor, ProgramId program);
     void settleTokens(ProgramId program, HoldId hold, TokenCount used);
     void applyReservations(const std::vector<StoreRecord>& records);
     /// Says for a log line what this instance knows of a program's budget and who holds how much of it.
--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -262,8 +262,8 @@
         answerLater(impl, reply,
             [program = request->program](
                 Impl& self, asio::any_io_executor strand, RpcReply answer) -> asio::awaitable<void> {
-                co_await self.giveBackTokens(strand, program);
-                answer.send(DoneMessage {});
+                const bool complete = co_await self.giveBackTokens(strand, program);
+                answer.send(GiveBackReply { complete });
             });
     } else if (const auto* reservation = std::get_if<ReservationCopy>(&message)) {
         reply.send(this->takeReservationCopy(reservation->reservation));
--- a/src/nodes/messages_p.h
+++ b/src/nodes/messages_p.h
@@ -262,7 +262,7 @@
 template <typename Archive> void serialize(Archive& archive, BeginTurnRequest& message)
 {
     archive(message.program, message.workspace, message.hold, message.budget, message.most);
-    archive(message.patience, message.timeLeft, message.previousTurn);
+    archive(message.answerTimeout, message.timeLeft, message.previousTurn);
 }
 
 template <typename Archive> void serialize(Archive& archive, BeginTurnReply& message)
@@ -278,6 +278,8 @@
 
 template <typename Archive> void serialize(Archive& archive, GiveBackRequest& message) { archive(message.program); }
 
+template <typename Archive> void serialize(Archive& archive, GiveBackReply& message) { archive(message.complete); }
+
 template <typename Archive> void serialize(Archive& archive, TokenReservation& reservation)
 {
     archive(reservation.program, reservation.owner, reservation.reserved, reservation.used, reservation.revision);
--- a/tests/ingress/budgets.cpp
+++ b/tests/ingress/budgets.cpp
@@ -62,7 +62,8 @@
     }
     const auto before = pair.endpoint.requests().size();
     deployment.fake.setAppendDelay(Milliseconds(1200));
-    REQUIRE(deployment.send(*pair.other, budgetedTurn("t1", name, "30")).second.status != 200);
+    // 402 would end the program, and nothing of its budget is used.
+    REQUIRE(deployment.send(*pair.other, budgetedTurn("t1", name, "30")).second.status == 503);
     REQUIRE(pair.endpoint.requests().size() == before);
     deployment.fake.setAppendDelay(Milliseconds(0));
     int tries = 0;
@@ -89,7 +90,7 @@
         request.hold = { hold };
         request.budget = TokenCount { 30 };
         request.most = { 30 };
-        request.patience = Milliseconds(2000);
+        request.answerTimeout = Milliseconds(2000);
         request.timeLeft = Milliseconds(2000);
         return request;
     };
@@ -109,3 +110,23 @@
         askInstance<DoneMessage>(deployment, *keeper, EndTurnNotice { program, { 2 } });
     REQUIRE(isBegun(4));
 }
+
+// Guards against a program that is told that its budget is spent while its keeper still waits for a reservation that no
+// turn needs any more.
+TEST_CASE("an instance whose reservation is being confirmed says that it gives tokens back later")
+{
+    KeeperAndOther pair;
+    auto& deployment = pair.deployment;
+    const auto program = idFromName<ProgramId>("w/p1");
+    const auto givesAllBack
+        = [&] { return askInstance<GiveBackReply>(deployment, *pair.keeper, GiveBackRequest { program }).complete; };
+    REQUIRE(givesAllBack());
+    deployment.fake.setAppendDelay(Milliseconds(1200));
+    std::promise<void> ended;
+    deployment.client.send(pair.keeper->address(), budgetedTurn("t1", "p1", "100000"), { Milliseconds(5000), false },
+        [&](const HttpResult&, const HttpResponse&) { ended.set_value(); });
+    REQUIRE(holdsSoon([&] { return !givesAllBack(); }));
+    ended.get_future().wait();
+    deployment.fake.setAppendDelay(Milliseconds(0));
+    REQUIRE(givesAllBack());
+}
--- a/tests/tokens/tokens.cpp
+++ b/tests/tokens/tokens.cpp
@@ -85,6 +85,17 @@
     REQUIRE(ledger.admit(program, turn(2, { 200 }, { 160 }), start) == TokenVerdict::Covered);
 }
 
+// Guards against a budget that is handed out again because the reservations of other instances, which are read once,
+// are forgotten while the program goes on there.
+TEST_CASE("an account stays known while records of the program arrive")
+{
+    TokenLedger ledger({ "a/1" });
+    ledger.apply({ program, "b/1", { 100 }, { 100 }, 1 }, start);
+    ledger.apply({ program, "b/1", { 200 }, { 200 }, 2 }, start + Seconds(60));
+    ledger.expire(start + Seconds(30));
+    REQUIRE(ledger.admit(program, turn(1, { 200 }, { 100 }), start + Seconds(95)) == TokenVerdict::Spent);
+}
+
 // Guards against accounts that stay in memory for good because the end of a turn was never reported.
 TEST_CASE("an account whose turn never ends in a report expires")
 {
