Read what is in the socket before a connection is closed

Callers saw kept connections closed although their request had arrived: when the idle time-out fired, or when a stopping server closed its idle connections, on a process that learned late of the bytes. A request whose rest came too late was closed without the 408 that says that it has not run, and a body that took longer than the time-out of the head was cut. A raised idle limit held only from the next wait on.

Cause: the time-outs were those of beast::tcp_stream. It closes the socket when they fire, so nothing can be written afterwards, and it reports a time-out even where the read has brought bytes. `stream.cancel()` at a stop dropped what the kernel held.

Now a timer on the clock of the runtime cancels the read only, and what is in the socket is read once more before the connection counts as idle or late. A request that crosses the close is still lost, as it must be. How a connection ended is reported through a hook, `HttpServer::Init::onConnectionEnd`.

--- a/include/peridotramp/runtime.h
+++ b/include/peridotramp/runtime.h
@@ -113,12 +113,45 @@
 struct HttpLimits {
     std::size_t maxHeaderBytes = std::size_t { 16 } * 1024;
     std::size_t maxBodyBytes = std::size_t { 8 } * 1024 * 1024;
-    /// Time from the first byte of a request to its last.
+    /// Time from the first byte of a request to the end of its head, and between parts of its body.
     Milliseconds readTimeout { 60'000 };
     /// Time between requests of a connection.
     Milliseconds idleTimeout { 60'000 };
 };
 
+/// A connection that ended without a request, within one, or because its caller did not read.
+struct ConnectionEnd {
+    enum class Reason : std::uint8_t {
+        /// No request came within the idle time.
+        Idle,
+        /// No request had come when the server stopped accepting.
+        Stopping,
+        /// The rest of a request did not come in time; the request was refused.
+        ReadTimeout,
+        /// A request was malformed or too large; it was refused.
+        Refused,
+        /// The caller left before its request was whole.
+        LeftInRequest,
+        /// The caller read its response too slowly.
+        SlowReader,
+        /// The connection was one too many.
+        TooMany,
+        Count
+    };
+
+    Reason reason = Reason::Idle;
+    Address peer {};
+    /// Path of the request, as far as it is known; shortened.
+    std::string path {};
+    /// Bytes of the request that were read.
+    std::size_t requestBytes = 0;
+    /// Time since the first byte of the request.
+    Duration requestAge {};
+};
+
+/// Returns the stable lower-case name of a reason, for example `read_timeout`.
+std::string_view toString(ConnectionEnd::Reason reason);
+
 /// HTTP/1.1 server.
 class HttpServer {
 public:
@@ -130,6 +163,8 @@
         /// Unsent bytes of one response beyond which the caller counts as too slow and is disconnected.
         std::size_t maxPendingBytes = std::size_t { 4 } * 1024 * 1024;
         std::size_t maxConnections = 10'000;
+        /// Called when a connection ends; it must not block.
+        std::function<void(const ConnectionEnd&)> onConnectionEnd = [](const ConnectionEnd&) { };
     };
     using Handler = std::function<void(HttpRequest, HttpExchange)>;
 
@@ -145,7 +180,7 @@
     /// Goes on serving, but closes each connection after its next response, until it is told otherwise.
     void closeAfterResponses(bool enabled);
     /// Stops accepting connections and closes those that wait for a request; the others close after the response to
-    /// their current request.
+    /// their current request. A request that has arrived by then is still served.
     void stopAccepting();
     /// Returns the number of requests that have not been answered completely.
     std::size_t activeExchanges() const;
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -5,6 +5,13 @@
 
 namespace peridotramp {
 
+std::string_view toString(ConnectionEnd::Reason reason)
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t>(ConnectionEnd::Reason::Count)> names { "idle",
+        "stopping", "read_timeout", "refused", "left_in_request", "slow_reader", "too_many" };
+    return names.at(static_cast<std::size_t>(reason));
+}
+
 struct HttpServer::Impl {
     Impl(Runtime& runtime, Init init, Handler handler)
         : init(std::move(init))
@@ -34,12 +41,18 @@
         PartKind kind;
         HttpResponse response;
     };
+    /// How a wait for bytes ended.
+    enum class ReadEnd : std::uint8_t { Bytes, Nothing, Closed, Count };
 
     Session(std::shared_ptr<HttpServer::Impl> server, asio::ip::tcp::socket socket)
         : server(std::move(server))
-        , stream(std::move(socket))
-        , wake(this->stream.get_executor())
+        , socket(std::move(socket))
+        , deadline(this->socket.get_executor())
+        , wake(this->socket.get_executor())
     {
+        boost::system::error_code ignored;
+        static_cast<void>(this->socket.non_blocking(true, ignored));
+        ++this->server->connections;
         const std::scoped_lock lock(this->server->sessionsMutex);
         this->server->sessions.insert(this);
     }
@@ -47,12 +60,17 @@
     Session& operator=(const Session&) = delete;
     ~Session()
     {
+        --this->server->connections;
         const std::scoped_lock lock(this->server->sessionsMutex);
         this->server->sessions.erase(this);
     }
 
     // The coroutines take their owner as an argument, because they start after the caller has let go of it.
     asio::awaitable<void> run(std::shared_ptr<Session> self);
+    asio::awaitable<ReadEnd> receive(Duration limit);
+    ReadEnd readAvailable();
+    asio::awaitable<bool> awaitRequest();
+    asio::awaitable<boost::system::error_code> readMessage(Milliseconds timeout);
     asio::awaitable<bool> readRequest();
     asio::awaitable<void> refuse(http::status status);
     asio::awaitable<void> serveRequest();
@@ -61,10 +79,20 @@
     asio::awaitable<void> writeWhole(HttpResponse response);
     void enqueue(std::uint64_t sequence, Part part);
     void endExchange(bool disconnected);
+    void close();
+    void startDeadline(Duration limit, std::function<void()> hook);
+    void stopDeadline();
+    void reportEnd(ConnectionEnd::Reason reason) const;
 
     std::shared_ptr<HttpServer::Impl> server;
-    beast::tcp_stream stream;
+    asio::ip::tcp::socket socket;
     beast::flat_buffer buffer {};
+    // Bounds the read that is under way. The number tells an expiry that is reported late from one of the present wait.
+    RuntimeTimer deadline;
+    std::uint64_t deadlineNumber = 0;
+    // Of the request that is being read.
+    TimePoint requestBegan {};
+    std::size_t requestBytes = 0;
     std::optional<http::request_parser<http::string_body>> parser {};
     std::deque<Part> parts {};
     // Woken when a part arrives; never expires by itself.
@@ -85,6 +113,10 @@
 using Session = HttpExchange::Session;
 
 constexpr std::size_t readBlockBytes = std::size_t { 8 } * 1024;
+// A caller that sends a byte now and then must not hold a connection for ever.
+constexpr Seconds longestBodyTime { 60 };
+// Longest part of a path that is reported.
+constexpr std::size_t mostPathBytes = 100;
 
 http::response_header<> headOf(const HttpResponse& response)
 {
@@ -119,12 +151,50 @@
     this->wake.cancel();
 }
 
+void Session::close()
+{
+    boost::system::error_code ignored;
+    static_cast<void>(this->socket.close(ignored));
+}
+
+void Session::startDeadline(Duration limit, std::function<void()> hook)
+{
+    this->deadline.expires_after(limit);
+    this->deadline.async_wait([self = this->shared_from_this(), number = ++this->deadlineNumber,
+                                  hook = std::move(hook)](const boost::system::error_code& error) {
+        if (!error && number == self->deadlineNumber)
+            hook();
+    });
+}
+
+void Session::stopDeadline()
+{
+    ++this->deadlineNumber;
+    this->deadline.cancel();
+}
+
+void Session::reportEnd(ConnectionEnd::Reason reason) const
+{
+    ConnectionEnd end;
+    end.reason = reason;
+    boost::system::error_code error;
+    const auto peer = this->socket.remote_endpoint(error);
+    if (!error)
+        end.peer = { peer.address().to_string(), peer.port() };
+    if (this->parser && this->parser->is_header_done())
+        end.path = std::string(this->parser->get().target().substr(0, mostPathBytes));
+    end.path.resize(std::min(end.path.find('?'), end.path.size()));
+    end.requestBytes = this->requestBytes;
+    end.requestAge = this->requestBytes > 0 ? RuntimeClock::now() - this->requestBegan : Duration(0);
+    this->server->init.onConnectionEnd(end);
+}
+
 asio::awaitable<void> Session::writeWhole(HttpResponse response)
 {
     http::response<http::string_body> message(headOf(response), std::move(response.body));
     message.keep_alive(this->keepAlive);
     message.prepare_payload();
-    auto [error, bytes] = co_await http::async_write(this->stream, message, asTuple);
+    auto [error, bytes] = co_await http::async_write(this->socket, message, asTuple);
     this->broken = this->broken || error;
 }
 
@@ -142,20 +212,20 @@
         message.keep_alive(this->keepAlive);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
-        auto [error, bytes] = co_await http::async_write_header(this->stream, serializer, asTuple);
+        auto [error, bytes] = co_await http::async_write_header(this->socket, serializer, asTuple);
         result = error;
         break;
     }
     case PartKind::Chunk: {
         auto [error, bytes]
-            = co_await asio::async_write(this->stream, http::make_chunk(asio::buffer(part.response.body)), asTuple);
+            = co_await asio::async_write(this->socket, http::make_chunk(asio::buffer(part.response.body)), asTuple);
         result = error;
         break;
     }
     case PartKind::End:
     case PartKind::Count: {
         const auto last = http::make_chunk_last();
-        auto [error, bytes] = co_await asio::async_write(this->stream, last, asTuple);
+        auto [error, bytes] = co_await asio::async_write(this->socket, last, asTuple);
         result = error;
         break;
     }
@@ -172,10 +242,10 @@
     auto input = PendingInput::None;
     // The event of bytes that another thread has read meanwhile ends the wait, too, and then there is nothing to read.
     while (input == PendingInput::None) {
-        auto [error] = co_await this->stream.socket().async_wait(asio::socket_base::wait_read, asTuple);
+        auto [error] = co_await this->socket.async_wait(asio::socket_base::wait_read, asTuple);
         if (sequence != this->currentSequence || !this->exchangeActive || error == asio::error::operation_aborted)
             co_return;
-        input = error ? PendingInput::End : pendingInput(this->stream.socket());
+        input = error ? PendingInput::End : pendingInput(this->socket);
     }
     // Data is a pipelined request and is read later.
     if (input == PendingInput::Data)
@@ -195,7 +265,7 @@
     this->exchangeActive = true;
     this->activeSequence = ++this->currentSequence;
     ++this->server->exchanges;
-    asio::co_spawn(this->stream.get_executor(),
+    asio::co_spawn(this->socket.get_executor(),
         this->watchForDisconnect(this->shared_from_this(), this->currentSequence), asio::detached);
     this->server->handler(std::move(request), HttpExchange { this->shared_from_this(), this->currentSequence });
     bool goesOn = true;
@@ -211,7 +281,7 @@
     }
     this->endExchange(this->broken);
     boost::system::error_code ignored;
-    static_cast<void>(this->stream.socket().cancel(ignored));
+    static_cast<void>(this->socket.cancel(ignored));
 }
 
 namespace {
@@ -235,7 +305,7 @@
         return http::status::payload_too_large;
     if (error == http::error::header_limit)
         return http::status::request_header_fields_too_large;
-    if (error == beast::error::timeout)
+    if (error == asio::error::timed_out)
         return http::status::request_timeout;
     if (isParseError(error))
         return http::status::bad_request;
@@ -247,39 +317,116 @@
 asio::awaitable<void> Session::refuse(http::status status)
 {
     this->keepAlive = false;
-    // A write is not bounded by the time-out that has just ended the read.
-    this->stream.expires_never();
     // g++ 12 destroys aggregate temporaries of a co_await expression twice, so the response is a variable.
     auto response
         = textResponse(static_cast<unsigned>(status), std::error_code(kindOfRefusal(status)).message() + "\n");
     co_await this->writeWhole(std::move(response));
 }
 
-asio::awaitable<bool> Session::readRequest()
+// Reads what is in the socket, without a wait.
+Session::ReadEnd Session::readAvailable()
 {
-    auto limits = this->server->init.limits();
-    if (this->buffer.size() == 0) {
-        if (this->server->stopping)
+    boost::system::error_code error;
+    const auto size = this->socket.read_some(this->buffer.prepare(readBlockBytes), error);
+    if (error == asio::error::would_block)
+        return ReadEnd::Nothing;
+    if (error)
+        return ReadEnd::Closed;
+    this->buffer.commit(size);
+    this->requestBytes += size;
+    return ReadEnd::Bytes;
+}
+
+// Waits for bytes until `limit` has passed or the socket's operations are cancelled. What is in the socket by then is
+// still read: on a busy machine the process learns of it late.
+asio::awaitable<Session::ReadEnd> Session::receive(Duration limit)
+{
+    this->startDeadline(limit, [this] {
+        boost::system::error_code ignored;
+        static_cast<void>(this->socket.cancel(ignored));
+    });
+    auto space = this->buffer.prepare(readBlockBytes);
+    auto [error, size] = co_await this->socket.async_read_some(space, asTuple);
+    this->stopDeadline();
+    if (error == asio::error::operation_aborted)
+        co_return this->readAvailable();
+    if (error)
+        co_return ReadEnd::Closed;
+    this->buffer.commit(size);
+    this->requestBytes += size;
+    co_return ReadEnd::Bytes;
+}
+
+// Waits for the first bytes of a request; returns false when the connection is to be closed.
+asio::awaitable<bool> Session::awaitRequest()
+{
+    const auto since = RuntimeClock::now();
+    auto received = ReadEnd::Nothing;
+    while (received == ReadEnd::Nothing) {
+        // Looked at again each time, as the limit may have been raised.
+        const auto left = since + this->server->init.limits().idleTimeout - RuntimeClock::now();
+        if (left <= Duration(0)) {
+            this->reportEnd(ConnectionEnd::Reason::Idle);
             co_return false;
-        this->stream.expires_after(limits.idleTimeout);
-        auto space = this->buffer.prepare(readBlockBytes);
+        }
+        if (this->server->stopping) {
+            received = this->readAvailable();
+            if (received == ReadEnd::Nothing)
+                this->reportEnd(ConnectionEnd::Reason::Stopping);
+            co_return received == ReadEnd::Bytes;
+        }
         this->idle = true;
-        auto [idleError, received] = co_await this->stream.async_read_some(space, asTuple);
+        received = co_await this->receive(left);
         this->idle = false;
-        if (idleError)
+    }
+    co_return received == ReadEnd::Bytes;
+}
+
+// Reads the message that the first bytes belong to.
+asio::awaitable<boost::system::error_code> Session::readMessage(Milliseconds timeout)
+{
+    while (true) {
+        boost::system::error_code error;
+        this->buffer.consume(this->parser->put(this->buffer.data(), error));
+        if (error && error != http::error::need_more)
+            co_return error;
+        if (this->parser->is_done())
+            co_return boost::system::error_code();
+        // The head is bounded as a whole. A body may take longer, as long as it goes on arriving.
+        const auto now = RuntimeClock::now();
+        const auto left = this->parser->is_header_done()
+            ? std::min<Duration>(timeout, this->requestBegan + longestBodyTime - now)
+            : this->requestBegan + timeout - now;
+        const auto received = co_await this->receive(std::max(left, Duration(0)));
+        if (received == ReadEnd::Nothing)
+            co_return asio::error::make_error_code(asio::error::timed_out);
+        if (received == ReadEnd::Closed)
+            co_return http::make_error_code(http::error::partial_message);
+    }
+}
+
+asio::awaitable<bool> Session::readRequest()
+{
+    this->requestBytes = this->buffer.size();
+    if (this->buffer.size() == 0) {
+        const bool arrived = co_await this->awaitRequest();
+        if (!arrived)
             co_return false;
-        this->buffer.commit(received);
-        limits = this->server->init.limits();
     }
+    const auto limits = this->server->init.limits();
+    this->requestBegan = RuntimeClock::now();
     this->parser.emplace();
     this->parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     this->parser->body_limit(limits.maxBodyBytes);
-    this->stream.expires_after(limits.readTimeout);
-    auto [error, bytes] = co_await http::async_read(this->stream, this->buffer, *this->parser, asTuple);
-    this->stream.expires_never();
+    this->parser->eager(true);
+    const auto error = co_await this->readMessage(limits.readTimeout);
     if (!error)
         co_return true;
-    if (const auto status = refusalOf(error))
+    const auto status = refusalOf(error);
+    const auto refused
+        = status == http::status::request_timeout ? ConnectionEnd::Reason::ReadTimeout : ConnectionEnd::Reason::Refused;
+    this->reportEnd(status ? refused : ConnectionEnd::Reason::LeftInRequest);
+    if (status)
         co_await this->refuse(*status);
     co_return false;
 }
@@ -288,23 +435,24 @@
 {
     while (co_await this->readRequest()) {
         co_await this->serveRequest();
-        if (this->broken || !this->keepAlive || this->server->stopping)
+        if (this->broken || !this->keepAlive)
             break;
     }
     boost::system::error_code ignored;
-    static_cast<void>(this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored));
-    --this->server->connections;
+    static_cast<void>(this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored));
+    this->close();
 }
 
 namespace {
 
 void startSession(const std::shared_ptr<HttpServer::Impl>& server, asio::ip::tcp::socket socket)
 {
-    if (server->connections >= server->init.maxConnections)
+    if (server->connections >= server->init.maxConnections) {
+        server->init.onConnectionEnd({ .reason = ConnectionEnd::Reason::TooMany });
         return;
-    ++server->connections;
+    }
     auto session = std::make_shared<Session>(server, std::move(socket));
-    asio::co_spawn(session->stream.get_executor(), session->run(session), asio::detached);
+    asio::co_spawn(session->socket.get_executor(), session->run(session), asio::detached);
 }
 
 void post(const HttpExchange& exchange, Session::PartKind kind, HttpResponse response)
@@ -312,13 +460,33 @@
     if (!exchange.session)
         return;
     auto& session = *exchange.session;
-    asio::post(session.stream.get_executor(),
+    asio::post(session.socket.get_executor(),
         [session = exchange.session, sequence = exchange.sequence,
             part = Session::Part { kind, std::move(response) }]() mutable {
             session->enqueue(sequence, std::move(part));
         });
 }
 
+// Closes the connection; what the caller has not taken is dropped.
+void disconnect(const HttpExchange& exchange)
+{
+    asio::post(exchange.session->socket.get_executor(), [session = exchange.session, sequence = exchange.sequence] {
+        if (sequence != session->currentSequence || !session->exchangeActive)
+            return;
+        session->broken = true;
+        session->close();
+        session->endExchange(true);
+        session->wake.cancel();
+    });
+}
+
+// Ends the wait for a request.
+void interrupt(Session& session)
+{
+    boost::system::error_code ignored;
+    static_cast<void>(session.socket.cancel(ignored));
+}
+
 } // namespace
 
 void HttpExchange::respond(HttpResponse response) const { post(*this, Session::PartKind::Whole, std::move(response)); }
@@ -344,17 +512,8 @@
 
 void HttpExchange::abort() const
 {
-    if (!this->session)
-        return;
-    asio::post(this->session->stream.get_executor(), [session = this->session, sequence = this->sequence] {
-        if (sequence != session->currentSequence || !session->exchangeActive)
-            return;
-        session->broken = true;
-        boost::system::error_code ignored;
-        static_cast<void>(session->stream.socket().close(ignored));
-        session->endExchange(true);
-        session->wake.cancel();
-    });
+    if (this->session)
+        disconnect(*this);
 }
 
 bool HttpExchange::isActive() const { return this->session && this->session->activeSequence == this->sequence; }
@@ -363,7 +522,7 @@
 {
     if (!this->session)
         return;
-    asio::dispatch(this->session->stream.get_executor(),
+    asio::dispatch(this->session->socket.get_executor(),
         [session = this->session, sequence = this->sequence, hook = std::move(hook)] {
             if (sequence == session->currentSequence && session->exchangeActive)
                 session->disconnectHook = hook;
@@ -400,9 +559,9 @@
     // A session that is being destroyed is no longer idle.
     std::erase(open, nullptr);
     for (auto& session : open)
-        asio::post(session->stream.get_executor(), [session] {
+        asio::post(session->socket.get_executor(), [session] {
             if (session->idle)
-                session->stream.cancel();
+                interrupt(*session);
         });
 }
 
