Say in each answer whether the connection closes, as of the time it is written

Callers whose request ran when a planned stop began got an answer that left the connection open, and found it closed when they sent their next request. A caller that pipelines lost requests that the server had read.

Cause: whether the connection is kept was decided when the request was read, not when its answer was written; and a closing server broke off behind the answer although a further request was in its buffer.

Seen before the mend: "an answer to a request that ran when the server began to close connections says so": no `Connection: close`, with closeAfterResponses and with stopAccepting; "pipelined requests that were read are answered before the server closes their connection": 98 != 98 (one answer in place of two).

Now the head of an answer decides, and a request that has been read already is answered before the close.

--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -82,6 +82,7 @@
     void close();
     void startDeadline(Duration limit, std::function<void()> hook);
     void stopDeadline();
+    bool staysOpen() const;
     void reportEnd(ConnectionEnd::Reason reason) const;
 
     std::shared_ptr<HttpServer::Impl> server;
@@ -173,6 +174,14 @@
     this->deadline.cancel();
 }
 
+// Decides, when the head of a response is written, whether the connection serves another request. A pipelined request
+// that has been read already is answered before the connection closes.
+bool Session::staysOpen() const
+{
+    const bool closes = this->server->stopping || this->server->closing;
+    return this->keepAlive && (!closes || this->buffer.size() > 0);
+}
+
 void Session::reportEnd(ConnectionEnd::Reason reason) const
 {
     ConnectionEnd end;
@@ -192,6 +201,7 @@
 asio::awaitable<void> Session::writeWhole(HttpResponse response)
 {
     http::response<http::string_body> message(headOf(response), std::move(response.body));
+    this->keepAlive = this->staysOpen();
     message.keep_alive(this->keepAlive);
     message.prepare_payload();
     auto [error, bytes] = co_await http::async_write(this->socket, message, asTuple);
@@ -209,6 +219,7 @@
         co_return false;
     case PartKind::Head: {
         http::response<http::empty_body> message(headOf(part.response));
+        this->keepAlive = this->staysOpen();
         message.keep_alive(this->keepAlive);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
@@ -259,7 +270,7 @@
 {
     auto message = this->parser->release();
     this->parser.reset();
-    this->keepAlive = message.keep_alive() && !this->server->stopping && !this->server->closing;
+    this->keepAlive = message.keep_alive();
     HttpRequest request { std::string(message.method_string()), std::string(message.target()), headersOf(message),
         std::move(message.body()) };
     this->exchangeActive = true;
--- a/tests/runtime/connections.cpp
+++ b/tests/runtime/connections.cpp
@@ -154,3 +154,39 @@
     const auto& bytes = caller.receive(answerLimit);
     REQUIRE(bytes.find("done") != bytes.rfind("done"));
 }
+
+// Guards against a caller that takes its connection for a kept one and sends its next request while it is closed.
+TEST_CASE("an answer to a request that ran when the server began to close connections says so")
+{
+    Runtime runtime({ 2 });
+    runtime.start();
+    const bool stops = GENERATE(false, true);
+    std::promise<HttpExchange> held;
+    HttpServer server(runtime, {}, [&](const HttpRequest&, const HttpExchange& exchange) { held.set_value(exchange); });
+    RawConnection caller(server.address());
+    REQUIRE(caller.send(getRequest));
+    const auto exchange = held.get_future().get();
+    if (stops)
+        server.stopAccepting();
+    else
+        server.closeAfterResponses(true);
+    exchange.respond(textResponse(200, "done"));
+    REQUIRE(contains(caller.receive(answerLimit), "Connection: close"));
+    REQUIRE(contains(caller.bytes(), "done"));
+    REQUIRE(caller.end() == RawConnection::End::Closed);
+}
+
+// Guards against requests that the server has read and drops, because it closes the connection after the answer before.
+TEST_CASE("pipelined requests that were read are answered before the server closes their connection")
+{
+    Runtime runtime({ 2 });
+    runtime.start();
+    HttpServer server(runtime, {}, answerDone);
+    server.closeAfterResponses(true);
+    RawConnection caller(server.address());
+    REQUIRE(caller.send(std::string(getRequest) + std::string(getRequest)));
+    const auto& bytes = caller.receive(answerLimit);
+    REQUIRE(bytes.find("done") != bytes.rfind("done"));
+    REQUIRE(bytes.find("Connection: close") > bytes.find("done"));
+    REQUIRE(caller.end() == RawConnection::End::Closed);
+}
