Send what was written before a response is aborted

A stream that was aborted in the moment after its first events reached its caller as a closed connection without a byte: the events could not be resumed behind, and to the caller the request ended without an answer.

Cause: `abort` closed the socket at once and dropped the parts that waited to be written.

Now the abort is the last part of the response. A caller that reads nothing is cut after 300 ms, and one that is disconnected because it reads too slowly at once, as before; the latter is reported as an end of its connection.

--- a/include/peridotramp/runtime.h
+++ b/include/peridotramp/runtime.h
@@ -97,7 +97,8 @@
     bool write(std::string part) const;
     /// Ends a streamed response.
     void finish() const;
-    /// Closes the connection without a complete response.
+    /// Closes the connection without a complete response. What was written before is sent, unless the caller is slow to
+    /// read it.
     void abort() const;
     /// Returns whether the response has not been sent and the caller is still there, as far as is known.
     bool isActive() const;
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -36,7 +36,7 @@
 
 // One connection. Everything but the atomic members is touched on the connection's strand only.
 struct HttpExchange::Session : std::enable_shared_from_this<HttpExchange::Session> {
-    enum class PartKind : std::uint8_t { Whole, Head, Chunk, End, Count };
+    enum class PartKind : std::uint8_t { Whole, Head, Chunk, End, Abort, Count };
     struct Part {
         PartKind kind;
         HttpResponse response;
@@ -88,7 +88,8 @@
     std::shared_ptr<HttpServer::Impl> server;
     asio::ip::tcp::socket socket;
     beast::flat_buffer buffer {};
-    // Bounds the read that is under way. The number tells an expiry that is reported late from one of the present wait.
+    // Bounds the read, or the end of an aborted response, that is under way. The number tells an expiry that is
+    // reported late from one of the present wait.
     RuntimeTimer deadline;
     std::uint64_t deadlineNumber = 0;
     // Of the request that is being read.
@@ -116,6 +117,8 @@
 constexpr std::size_t readBlockBytes = std::size_t { 8 } * 1024;
 // A caller that sends a byte now and then must not hold a connection for ever.
 constexpr Seconds longestBodyTime { 60 };
+// Time for a caller to take what was written before its response is aborted.
+constexpr Milliseconds abortTime { 300 };
 // Longest part of a path that is reported.
 constexpr std::size_t mostPathBytes = 100;
 
@@ -148,6 +151,10 @@
 {
     if (sequence != this->currentSequence || !this->exchangeActive)
         return;
+    if (part.kind == PartKind::Abort) {
+        this->activeSequence = 0;
+        this->startDeadline(abortTime, [this] { this->close(); });
+    }
     this->parts.push_back(std::move(part));
     this->wake.cancel();
 }
@@ -233,6 +240,9 @@
         result = error;
         break;
     }
+    case PartKind::Abort:
+        this->broken = true;
+        break;
     case PartKind::End:
     case PartKind::Count: {
         const auto last = http::make_chunk_last();
@@ -290,6 +300,7 @@
         this->parts.pop_front();
         goesOn = co_await this->writePart(std::move(part));
     }
+    this->stopDeadline();
     this->endExchange(this->broken);
     boost::system::error_code ignored;
     static_cast<void>(this->socket.cancel(ignored));
@@ -478,13 +489,14 @@
         });
 }
 
-// Closes the connection; what the caller has not taken is dropped.
+// Closes the connection of a caller that does not read; what it has not taken is dropped.
 void disconnect(const HttpExchange& exchange)
 {
     asio::post(exchange.session->socket.get_executor(), [session = exchange.session, sequence = exchange.sequence] {
         if (sequence != session->currentSequence || !session->exchangeActive)
             return;
         session->broken = true;
+        session->reportEnd(ConnectionEnd::Reason::SlowReader);
         session->close();
         session->endExchange(true);
         session->wake.cancel();
@@ -512,7 +524,7 @@
         return true;
     const auto pending = this->session->pendingBytes += part.size();
     if (pending > this->session->server->init.maxPendingBytes) {
-        this->abort();
+        disconnect(*this);
         return false;
     }
     post(*this, Session::PartKind::Chunk, { 200, {}, std::move(part) });
@@ -521,11 +533,7 @@
 
 void HttpExchange::finish() const { post(*this, Session::PartKind::End, {}); }
 
-void HttpExchange::abort() const
-{
-    if (this->session)
-        disconnect(*this);
-}
+void HttpExchange::abort() const { post(*this, Session::PartKind::Abort, {}); }
 
 bool HttpExchange::isActive() const { return this->session && this->session->activeSequence == this->sequence; }
 
--- a/tests/runtime/connections.cpp
+++ b/tests/runtime/connections.cpp
@@ -190,3 +190,39 @@
     REQUIRE(bytes.find("Connection: close") > bytes.find("done"));
     REQUIRE(caller.end() == RawConnection::End::Closed);
 }
+
+// Guards against a stream that is aborted and takes events with it that were handed to the server before.
+TEST_CASE("what was written before an abort reaches the caller, and the answer does not look complete")
+{
+    Runtime runtime({ 2 });
+    runtime.start();
+    HttpServer server(runtime, {}, [](const HttpRequest&, const HttpExchange& exchange) {
+        exchange.startStream({ 200, {}, {} });
+        exchange.write("event");
+        exchange.abort();
+    });
+    RawConnection caller(server.address());
+    REQUIRE(caller.send(getRequest));
+    REQUIRE(contains(caller.receive(answerLimit), "event"));
+    REQUIRE_FALSE(contains(caller.bytes(), "0\r\n\r\n"));
+    REQUIRE(caller.end() != RawConnection::End::Open);
+}
+
+// Guards against an abort that waits for a caller that reads nothing.
+TEST_CASE("an aborted answer ends soon although its caller does not read")
+{
+    Runtime runtime({ 2 });
+    runtime.start();
+    HttpServer::Init init;
+    init.maxPendingBytes = std::size_t { 64 } * 1024 * 1024;
+    HttpServer server(runtime, init, [](const HttpRequest&, const HttpExchange& exchange) {
+        exchange.startStream({ 200, {}, {} });
+        for (int part = 0; part < 32; ++part)
+            exchange.write(std::string(std::size_t { 1024 } * 1024, 'x'));
+        exchange.abort();
+    });
+    RawConnection caller(server.address(), 4096);
+    REQUIRE(caller.send(getRequest));
+    caller.receive(answerLimit, "200 OK");
+    REQUIRE(holdsSoon([&] { return server.activeExchanges() == 0; }));
+}
