Read and drop the rest of a refused request

A caller whose request was refused while it was still sending, because of its size, could lose the refusal: the connection was reset. On the platform, too, closing a connection with unread bytes resets it.

Seen before the mend: "the refusal of a request reaches a caller that is still sending it": the caller's send fails. Linux keeps the refusal readable behind the reset on loopback, so the test asks for an orderly end.

Now the server closes its side of the connection behind the refusal and reads on for a second at most.

--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -72,6 +72,7 @@
     asio::awaitable<bool> awaitRequest();
     asio::awaitable<boost::system::error_code> readMessage(Milliseconds timeout);
     asio::awaitable<bool> readRequest();
+    asio::awaitable<void> dropInput();
     asio::awaitable<void> refuse(http::status status);
     asio::awaitable<void> serveRequest();
     asio::awaitable<void> watchForDisconnect(std::shared_ptr<Session> self, std::uint64_t sequence);
@@ -117,6 +118,8 @@
 constexpr std::size_t readBlockBytes = std::size_t { 8 } * 1024;
 // A caller that sends a byte now and then must not hold a connection for ever.
 constexpr Seconds longestBodyTime { 60 };
+// Time for which the rest of a refused request is read and dropped.
+constexpr Milliseconds dropInputTime { 1000 };
 // Time for a caller to take what was written before its response is aborted.
 constexpr Milliseconds abortTime { 300 };
 // Longest part of a path that is reported.
@@ -343,6 +346,20 @@
     auto response
         = textResponse(static_cast<unsigned>(status), std::error_code(kindOfRefusal(status)).message() + "\n");
     co_await this->writeWhole(std::move(response));
+    co_await this->dropInput();
+}
+
+// Closing a connection with unread bytes resets it, which would destroy the refusal of a caller that is still sending.
+asio::awaitable<void> Session::dropInput()
+{
+    boost::system::error_code ignored;
+    static_cast<void>(this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored));
+    const auto end = RuntimeClock::now() + dropInputTime;
+    auto received = ReadEnd::Bytes;
+    while (received == ReadEnd::Bytes && RuntimeClock::now() < end) {
+        this->buffer.clear();
+        received = co_await this->receive(end - RuntimeClock::now());
+    }
 }
 
 // Reads what is in the socket, without a wait.
--- a/tests/runtime/connections.cpp
+++ b/tests/runtime/connections.cpp
@@ -226,3 +226,22 @@
     caller.receive(answerLimit, "200 OK");
     REQUIRE(holdsSoon([&] { return server.activeExchanges() == 0; }));
 }
+
+// Guards against a reset that destroys the refusal of a request before its caller, which still sends, has read it.
+TEST_CASE("the refusal of a request reaches a caller that is still sending it")
+{
+    constexpr int callers = 20;
+    constexpr std::size_t bodyBytes = std::size_t { 4 } * 1024 * 1024;
+    Runtime runtime({ 2 });
+    runtime.start();
+    HttpServer::Init init;
+    init.limits = [] { return HttpLimits { .maxBodyBytes = 100 }; };
+    HttpServer server(runtime, init, answerDone);
+    for (int index = 0; index < callers; ++index) {
+        RawConnection caller(server.address());
+        caller.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n");
+        REQUIRE(caller.send(std::string(bodyBytes, 'x')));
+        REQUIRE(contains(caller.receive(answerLimit), "HTTP/1.1 413"));
+        REQUIRE(caller.end() == RawConnection::End::Closed);
+    }
+}
