End a planned stop with an answer to every request

Callers of a stopping instance would find their connection closed without a complete answer in two cases: an answer that they were still reading was cut; and a request that had reached an endpoint, or had not, ended with the process when the grace time did. From reading only, not shown by a test: the limits were counted from when a timer was served, so a process that learned late of its timers came closer to the end of the grace time than planned.

Cause: the end of a stop looked at the requests under way only. A request ends for the ingress when its answer is handed to the server, not when it is written, and nothing told the requests that still ran at the deadline.

Ruled out: the connections themselves; the server closes one only after its response (tests of the server).

Seen before the mend: "a stopping instance waits until the answers are written": the stop had ended while the caller had read a part of 12 MB; "a call that runs when the grace time ends is answered before the process ends": no 502; "a request that waits for an endpoint when the grace time ends is refused as not run": no 503; "a stream that runs when the grace time ends is cut behind its last event": open.

Now the stop waits for the server's exchanges, too. What still runs near the end is told so on its own strand: 503 where no endpoint can have run it, 502 otherwise, and a stream is aborted behind its last event. The moments of a stop are counted from the signal, and a short grace time is divided in proportion (`planStop`): requests end 0.9 s before it does, or an eighth of it, in place of 0.6 s. A log line names the requests that were ended, 20 at most.

--- a/src/ingress/dispatch.cpp
+++ b/src/ingress/dispatch.cpp
@@ -158,7 +158,9 @@
     hooks.onEnd
         = [events = this->events, number](HttpResult result) { events.push({ number, AnswerEnded { result } }); };
     this->call = this->ingress->endpointClient.stream(choice.address, std::move(http), options, std::move(hooks));
+    this->attemptRuns = true;
     const auto end = co_await this->relay(choice, this->deadline);
+    this->attemptRuns = false;
     // Closes the connection of an answer that nobody waits for; a complete one has ended already.
     if (end != AttemptEnd::NotRun)
         this->call.cancel();
@@ -310,6 +312,9 @@
         const auto keepUntil = std::min(this->deadline, RuntimeClock::now() + keepLimit);
         const bool kept
             = co_await this->ingress->keepTurn(this->executor, this->program, turn, this->route.retention, keepUntil);
+        // The process may have ended the request meanwhile.
+        if (this->ended)
+            co_return;
         if (!kept) {
             this->abort("turn could not be stored");
             co_return;
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -13,9 +13,11 @@
 // Idle connections that are kept to one endpoint.
 constexpr std::size_t idleEndpointConnections = 12;
 constexpr std::size_t idleStoreConnections = 6;
-// What is left of the grace time for the process to end by itself.
-constexpr Milliseconds drainMargin { 600 };
-constexpr Milliseconds drainCheckPeriod { 50 };
+constexpr Milliseconds drainCheckPeriod { 20 };
+// Time for callers to take the answers of the requests that were ended at the stop.
+constexpr Milliseconds lastAnswersTime { 200 };
+// Requests whose ids are named at the end of the process.
+constexpr std::size_t mostRunningNamed = 20;
 
 Incarnation newIncarnation(const std::string& name)
 {
@@ -124,12 +126,13 @@
 {
     if (this->draining.exchange(true))
         return;
-    log(LogLevel::Info, "draining", { { "running", std::uint64_t { this->runningRequests } } });
+    this->drainBegan = RuntimeClock::now();
+    log(LogLevel::Info, "draining", { { "running", std::uint64_t { this->running.size() } } });
     this->callerServer->closeAfterResponses(true);
     this->fleet.setState({ this->storeHealth.isReachable(), true });
     // This instance is not among the keepers any more and hands over what it kept.
     this->updateKept();
-    this->runtime.after(this->init.balancerDelay,
+    this->runtime.after(planStop(this->grace, this->init.balancerDelay).closeIdle,
         [impl = this->shared_from_this(), done = std::move(done)] { impl->finishDrain(done); });
 }
 
@@ -137,33 +140,69 @@
 {
     // The balancer sends nothing new any more. Callers that reuse a connection find it closed before they send.
     this->callerServer->stopAccepting();
-    const auto limit = this->grace.load() - this->init.balancerDelay - drainMargin;
-    this->awaitIdle(RuntimeClock::now() + limit, done);
+    const auto limit = planStop(this->grace, this->init.balancerDelay).endRequests;
+    this->awaitIdle(this->drainBegan + limit, [impl = this->shared_from_this(), done] { impl->endRequests(done); });
 }
 
-void Ingress::Impl::awaitIdle(TimePoint deadline, const std::function<void()>& done)
+bool Ingress::Impl::isIdle()
 {
-    const auto unwritten = [this] { return this->turnWriters.waiting() + this->tokenWriters.waiting(); };
-    const bool idle = this->runningRequests == 0 && unwritten() == 0;
-    if (!idle && RuntimeClock::now() < deadline) {
-        this->runtime.after(
-            drainCheckPeriod, [impl = this->shared_from_this(), deadline, done] { impl->awaitIdle(deadline, done); });
+    return this->running.size() == 0 && this->callerServer->activeExchanges() == 0 && this->turnWriters.waiting() == 0
+        && this->tokenWriters.waiting() == 0;
+}
+
+void Ingress::Impl::awaitIdle(TimePoint deadline, std::function<void()> next)
+{
+    if (this->isIdle() || RuntimeClock::now() >= deadline) {
+        next();
+        return;
+    }
+    this->runtime.after(drainCheckPeriod,
+        [impl = this->shared_from_this(), deadline, next = std::move(next)] { impl->awaitIdle(deadline, next); });
+}
+
+void Ingress::Impl::endRequests(const std::function<void()>& done)
+{
+    // Records that the store does not take are no reason to wait longer.
+    if (this->running.size() == 0 && this->callerServer->activeExchanges() == 0) {
+        this->finishStop(done);
         return;
     }
+    log(LogLevel::Warning, "requests ended by the stop",
+        { { "running", std::uint64_t { this->running.size() } },
+            { "unwritten_answers", std::uint64_t { this->callerServer->activeExchanges() } },
+            { "oldest", this->describeRunning() } });
+    this->running.stopAll();
+    this->awaitIdle(
+        RuntimeClock::now() + lastAnswersTime, [impl = this->shared_from_this(), done] { impl->finishStop(done); });
+}
+
+void Ingress::Impl::finishStop(const std::function<void()>& done)
+{
     log(LogLevel::Info, "stopping",
-        { { "running", std::uint64_t { this->runningRequests } },
-            { "unwritten_records", std::uint64_t { unwritten() } } });
+        { { "running", std::uint64_t { this->running.size() } },
+            { "unwritten_answers", std::uint64_t { this->callerServer->activeExchanges() } },
+            { "unwritten_records", std::uint64_t { this->turnWriters.waiting() + this->tokenWriters.waiting() } } });
     this->giveBackAll();
     this->withdrawMember(done);
 }
 
+std::string Ingress::Impl::describeRunning()
+{
+    const auto now = RuntimeClock::now();
+    std::string text;
+    for (const auto& request : this->running.oldest(mostRunningNamed))
+        text += fmt::format("{}{} {} {}ms", text.empty() ? "" : ", ", request.request, request.route,
+            std::chrono::duration_cast<Milliseconds>(now - request.since).count());
+    return text;
+}
+
 std::string Ingress::Impl::dump()
 {
     namespace json = boost::json;
     const auto current = this->view();
     json::object state { { "instance", this->init.name }, { "domain", this->init.domain },
         { "incarnation", this->owner }, { "ready", this->isReady() }, { "draining", this->draining.load() },
-        { "store_reachable", this->storeHealth.isReachable() }, { "running_requests", this->runningRequests.load() } };
+        { "store_reachable", this->storeHealth.isReachable() }, { "running_requests", this->running.size() } };
     if (current->table)
         state["desired_version"] = current->table->state().version;
     json::array evacuated;
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -61,6 +61,45 @@
     int leftOut = 0;
 };
 
+/// A request that has been read and has not ended.
+struct RunningRequest {
+    std::string request;
+    std::string route;
+    TimePoint since {};
+    /// Ends it with an answer, because the process ends.
+    std::function<void()> stop;
+};
+
+/// The requests that run. Thread-safe.
+class RunningRequests {
+public:
+    using Key = std::uint64_t;
+
+    Key add(RunningRequest request);
+    void describe(Key key, std::string_view request, std::string_view route);
+    void remove(Key key);
+    std::size_t size() const { return this->count; }
+    /// Returns the oldest requests, at most `most`.
+    std::vector<RunningRequest> oldest(std::size_t most);
+    void stopAll();
+
+private:
+    Sharded<std::map<Key, RunningRequest>> shards;
+    std::atomic<Key> lastKey = 0;
+    std::atomic<std::size_t> count = 0;
+};
+
+/// Moments of a planned stop, counted from its begin.
+struct StopPlan {
+    /// When the balancer has moved on, and idle connections close.
+    Milliseconds closeIdle { 0 };
+    /// When the requests that still run are ended.
+    Milliseconds endRequests { 0 };
+};
+
+/// Divides the grace time.
+StopPlan planStop(Milliseconds grace, Milliseconds balancerDelay);
+
 /// Operations on one program's reservation run one after another.
 struct ReservationQueue {
     bool busy = false;
@@ -132,8 +171,15 @@
     void start();
     void drain(std::function<void()> done);
     void finishDrain(const std::function<void()>& done);
-    // Calls done once nothing runs and no turn waits to be written, or at the deadline.
-    void awaitIdle(TimePoint deadline, const std::function<void()>& done);
+    /// Whether nothing runs, all answers have been written, and no turn or reservation waits to be stored.
+    bool isIdle();
+    /// Calls `next` once this instance is idle, or at the deadline.
+    void awaitIdle(TimePoint deadline, std::function<void()> next);
+    /// Ends the requests that still run, each with an answer.
+    void endRequests(const std::function<void()>& done);
+    void finishStop(const std::function<void()>& done);
+    /// Describes the oldest requests that run, for a log line.
+    std::string describeRunning();
     bool isReady();
     std::string dump();
     HttpLimits callerLimits();
@@ -309,6 +355,7 @@
     /// Owner name of this process in token reservations.
     std::string owner;
     TimePoint startedAt;
+    TimePoint drainBegan {};
     std::atomic<Milliseconds> grace;
     Metrics metrics {};
     RequestLog requestLog;
@@ -329,7 +376,7 @@
     std::atomic<bool> draining = false;
     /// Cut off from the store and from all other failure domains.
     std::atomic<bool> isolated = false;
-    std::atomic<std::size_t> runningRequests = 0;
+    RunningRequests running {};
 
     AllowanceBook allowances;
     /// By service name.
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -62,6 +62,21 @@
     this->exchange.abort();
 }
 
+void RequestRun::stop()
+{
+    constexpr std::string_view reason = "instance stops";
+    if (this->ended)
+        return;
+    if (this->streamStarted)
+        this->abort(reason);
+    else if (this->runs > 0 || this->attemptRuns)
+        this->refuse({ ErrorKind::EndpointFailed, Outcome::Unknown, std::string(reason) });
+    else
+        this->refuse({ ErrorKind::ShuttingDown, Outcome::NotRun, std::string(reason), retryAfterNotReady });
+    // Ends whatever the request waits for, as nobody waits for it any more.
+    this->events.push({ 0, CallerLeft {} });
+}
+
 bool RequestRun::resolve()
 {
     this->view = this->ingress->view();
@@ -79,6 +94,7 @@
     this->route = *found;
     this->service = pickService(*found, serviceHash(this->request));
     this->outcome.route = this->route.name;
+    this->ingress->running.describe(this->runningKey, this->request.id, this->route.name);
     return true;
 }
 
@@ -163,7 +179,13 @@
 
 asio::awaitable<void> RequestRun::run([[maybe_unused]] std::shared_ptr<RequestRun> self, HttpRequest http)
 {
-    ++this->ingress->runningRequests;
+    const auto stopLater = [weak = this->weak_from_this(), strand = this->executor] {
+        asio::post(strand, [weak] {
+            if (const auto running = weak.lock())
+                running->stop();
+        });
+    };
+    this->runningKey = this->ingress->running.add({ {}, {}, this->startedAt, stopLater });
     this->exchange.onDisconnect([events = this->events] { events.push({ 0, CallerLeft {} }); });
     auto decoded = this->ingress->formats.decodeCaller(std::move(http));
     if (decoded) {
@@ -180,7 +202,7 @@
     }
     this->endTurn();
     this->report();
-    --this->ingress->runningRequests;
+    this->ingress->running.remove(this->runningKey);
 }
 
 void Ingress::Impl::serve(HttpRequest request, const HttpExchange& exchange)
--- a/src/ingress/request_p.h
+++ b/src/ingress/request_p.h
@@ -66,6 +66,8 @@
 
     void refuse(const Error& error);
     void abort(std::string_view reason);
+    // Ends the request with an answer that says what is known, because the process ends.
+    void stop();
     // Tells the keeper of the program how the turn has ended; does so once.
     void endTurn(std::optional<ConversationTurn> turn = std::nullopt);
     void report();
@@ -94,6 +96,8 @@
     int runs = 0;
     int attempts = 0;
     bool offered = false;
+    // Whether an attempt is under way, which may run at its endpoint.
+    bool attemptRuns = false;
     bool callerGone = false;
     bool ended = false;
     EndpointHead streamHead {};
@@ -102,6 +106,7 @@
     std::optional<std::string> lastEvent {};
     std::string output {};
     HttpClient::Call call {};
+    RunningRequests::Key runningKey = 0;
     RequestOutcome outcome {};
 };
 
--- /dev/null
+++ b/src/ingress/running.cpp
@@ -0,0 +1,64 @@
+#include "ingress_p.h"
+
+#include <algorithm>
+
+namespace peridotramp {
+
+namespace {
+
+// What remains of the grace time, beyond the answers to ended requests, for the store to take the last records and for
+// the log to be written.
+constexpr Milliseconds stopMargin { 900 };
+// Largest parts of a short grace time for the margin and for the balancer.
+constexpr int marginPart = 8;
+constexpr int balancerPart = 3;
+
+} // namespace
+
+StopPlan planStop(Milliseconds grace, Milliseconds balancerDelay)
+{
+    return { std::min(balancerDelay, grace / balancerPart), grace - std::min(stopMargin, grace / marginPart) };
+}
+
+RunningRequests::Key RunningRequests::add(RunningRequest request)
+{
+    const auto key = ++this->lastKey;
+    this->shards.with(key, [&](auto& shard) { shard.emplace(key, std::move(request)); });
+    ++this->count;
+    return key;
+}
+
+void RunningRequests::describe(Key key, std::string_view request, std::string_view route)
+{
+    this->shards.with(key, [&](auto& shard) {
+        const auto found = shard.find(key);
+        if (found == shard.end())
+            return;
+        found->second.request = request;
+        found->second.route = route;
+    });
+}
+
+void RunningRequests::remove(Key key)
+{
+    this->count -= this->shards.with(key, [&](auto& shard) { return shard.erase(key); });
+}
+
+std::vector<RunningRequest> RunningRequests::oldest(std::size_t most)
+{
+    std::vector<RunningRequest> all;
+    this->shards.forEach([&](const auto& shard) {
+        std::ranges::transform(shard, std::back_inserter(all), [](const auto& entry) { return entry.second; });
+    });
+    std::ranges::sort(all, {}, &RunningRequest::since);
+    all.resize(std::min(all.size(), most));
+    return all;
+}
+
+void RunningRequests::stopAll()
+{
+    for (const auto& request : this->oldest(this->count))
+        request.stop();
+}
+
+} // namespace peridotramp
--- a/tests/ingress/fixture.h
+++ b/tests/ingress/fixture.h
@@ -103,19 +103,19 @@
         this->fake.put(StoreTopic::DesiredState, {}, "config",
             fmt::format(
                 R"({{"version":{},"routes":[)"
-                R"({{"name":"turns","host":"h","pathPrefix":"/t/","routeType":"stream","timeoutMs":3000,"sloMs":1000,)"
+                R"({{"name":"turns","host":"h","pathPrefix":"/t/","routeType":"stream","timeoutMs":3000,"sloMs":{slo},)"
                 R"("service":"engines","maxAttempts":2,"retainContext":true,"retentionS":60}},)"
-                R"({{"name":"plain","host":"h","pathPrefix":"/p/","routeType":"stream","timeoutMs":3000,"sloMs":1000,)"
+                R"({{"name":"plain","host":"h","pathPrefix":"/p/","routeType":"stream","timeoutMs":3000,"sloMs":{slo},)"
                 R"("service":"engines","maxAttempts":2,"resumable":true,"retentionS":60}},)"
-                R"({{"name":"read","host":"h","pathPrefix":"/r/","routeType":"idempotent","timeoutMs":2000,"sloMs":1000,)"
+                R"({{"name":"read","host":"h","pathPrefix":"/r/","routeType":"idempotent","timeoutMs":2000,"sloMs":{slo},)"
                 R"("service":"desk","maxAttempts":2}},)"
                 R"({{"name":"write","host":"h","pathPrefix":"/w/","routeType":"non_idempotent","timeoutMs":2000,)"
-                R"("sloMs":1000,"service":"desk","maxAttempts":2}}],)"
+                R"("sloMs":{slo},"service":"desk","maxAttempts":2}}],)"
                 R"("services":[{{"name":"engines","maxConns":50,"engine":{{"slots":8,"tokensPerEvent":10}}}},)"
                 R"({{"name":"desk","maxConns":50}}],"limits":{{}},)"
                 R"("tenants":[{{"name":"w","apiKeys":{}}},{{"name":"other","apiKeys":["key-2"]}},)"
                 R"({{"name":"limited","apiKeys":["key-3"],"ratePerS":4,"burst":4}}]}})",
-                version, keys));
+                version, keys, fmt::arg("slo", this->latencyTargetMs)));
     }
 
     std::shared_ptr<Ingress> startInstance(
@@ -128,6 +128,7 @@
         init.regions = { { "a", "north" }, { "b", "north" }, { "c", "north" } };
         init.firstStart = firstStart;
         init.storePartitions = 2;
+        this->adjust(init);
         auto ingress = std::make_shared<Ingress>(
             this->runtime, init, platform::formats(), [this](const StoreTransport& transport) {
                 this->transport = transport;
@@ -170,6 +171,10 @@
         done->get_future().get();
     }
 
+    /// Changes the settings of the instances that are started from now on.
+    std::function<void(IngressInit&)> adjust = [](IngressInit&) { };
+    /// Latency target of all routes that are published from now on.
+    int latencyTargetMs = 1000;
     Runtime runtime { { 3 } };
     FakeStore fake { this->runtime };
     HttpClient client { this->runtime };
--- /dev/null
+++ b/tests/ingress/stops.cpp
@@ -0,0 +1,135 @@
+#include "../rawconnection.h"
+#include "fixture.h"
+
+using namespace peridotramp;
+
+namespace {
+
+constexpr Milliseconds answerLimit { 4000 };
+
+// Long enough for a stop to be seen, and short enough for a test.
+void stopsQuickly(IngressInit& init)
+{
+    init.grace = Milliseconds(1600);
+    init.balancerDelay = Milliseconds(100);
+}
+
+std::string requestBytes(const std::string& method, const std::string& target, const std::string& id)
+{
+    return fmt::format("{} {} HTTP/1.1\r\nHost: h\r\nRequest-Id: {}\r\nAuthorization: Bearer key-1\r\n"
+                       "Content-Length: 0\r\n\r\n",
+        method, target, id);
+}
+
+bool contains(std::string_view text, std::string_view part) { return text.find(part) != std::string_view::npos; }
+
+bool reached(FakeEndpoint& endpoint, std::string_view id)
+{
+    return std::ranges::any_of(
+        endpoint.requests(), [&](const HttpRequest& request) { return request.header("Request-Id") == id; });
+}
+
+/// A stop of an instance, as the process would wait for it.
+class Stop {
+public:
+    explicit Stop(Ingress& ingress)
+    {
+        ingress.drain([ended = this->ended] { *ended = true; });
+    }
+
+    bool hasEnded() const { return *this->ended; }
+
+private:
+    std::shared_ptr<std::atomic<bool>> ended = std::make_shared<std::atomic<bool>>(false);
+};
+
+} // namespace
+
+// Guards against a process that ends while a caller still reads its answer, which is then cut.
+TEST_CASE("a stopping instance waits until the answers are written")
+{
+    constexpr std::size_t bodyBytes = std::size_t { 12 } * 1024 * 1024;
+    Deployment deployment;
+    deployment.adjust = [](IngressInit& init) {
+        stopsQuickly(init);
+        init.grace = Milliseconds(8000);
+    };
+    auto& endpoint
+        = deployment.addEndpoint("i-1", "desk", [](const HttpRequest& request, const HttpExchange& exchange) {
+              exchange.respond({ 200, sealed(request), std::string(bodyBytes, 'x') });
+          });
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    RawConnection caller(ingress->address(), 4096);
+    REQUIRE(caller.send(requestBytes("GET", "/r/x", "q1")));
+    REQUIRE(holdsSoon([&] { return reached(endpoint, "q1"); }));
+    caller.receive(answerLimit, "200 OK");
+    const Stop stop(*ingress);
+    std::this_thread::sleep_for(Milliseconds(1000));
+    REQUIRE_FALSE(stop.hasEnded());
+    REQUIRE(caller.receive(answerLimit).size() > bodyBytes);
+    REQUIRE(holdsSoon([&] { return stop.hasEnded(); }));
+}
+
+// Guards against requests that have been read and end with a closed connection because the process ends: what has
+// reached an endpoint gets an answer that promises nothing.
+TEST_CASE("a call that runs when the grace time ends is answered before the process ends")
+{
+    Deployment deployment;
+    deployment.adjust = stopsQuickly;
+    auto& endpoint
+        = deployment.addEndpoint("i-1", "desk", [](const HttpRequest&, const HttpExchange&) { /* never answers */ });
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    RawConnection caller(ingress->address());
+    REQUIRE(caller.send(requestBytes("POST", "/w/x", "q1")));
+    REQUIRE(holdsSoon([&] { return reached(endpoint, "q1"); }));
+    const Stop stop(*ingress);
+    REQUIRE(holdsSoon([&] { return stop.hasEnded(); }));
+    // The process is gone now: what has not been sent is lost.
+    REQUIRE(contains(caller.receive(Milliseconds(20)), "HTTP/1.1 502"));
+}
+
+// As above: what has reached no endpoint is said not to have run, and reaches none afterwards.
+TEST_CASE("a request that waits for an endpoint when the grace time ends is refused as not run")
+{
+    Deployment deployment;
+    deployment.adjust = stopsQuickly;
+    // A request waits for an endpoint for a part of its latency target, here longer than the stop takes.
+    deployment.latencyTargetMs = 8000;
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    RawConnection caller(ingress->address());
+    REQUIRE(caller.send(requestBytes("POST", "/w/x", "q1")));
+    REQUIRE(caller.receive(Milliseconds(100)).empty());
+    const Stop stop(*ingress);
+    REQUIRE(holdsSoon([&] { return stop.hasEnded(); }));
+    REQUIRE(contains(caller.receive(Milliseconds(20)), "HTTP/1.1 503"));
+    auto& endpoint
+        = deployment.addEndpoint("i-1", "desk", [](const HttpRequest& request, const HttpExchange& exchange) {
+              exchange.respond({ 200, sealed(request), "late" });
+          });
+    std::this_thread::sleep_for(Milliseconds(600));
+    REQUIRE_FALSE(reached(endpoint, "q1"));
+}
+
+// Guards against a stream that is cut at the end of the grace time and loses events that had been sent on.
+TEST_CASE("a stream that runs when the grace time ends is cut behind its last event")
+{
+    Deployment deployment;
+    deployment.adjust = stopsQuickly;
+    deployment.addEndpoint("i-1", "engines", [](const HttpRequest& request, const HttpExchange& exchange) {
+        exchange.startStream(streamHead(request));
+        exchange.write(eventText(1));
+    });
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    RawConnection caller(ingress->address());
+    REQUIRE(caller.send(requestBytes("POST", "/p/x", "q1")));
+    caller.receive(answerLimit, "d1");
+    const Stop stop(*ingress);
+    REQUIRE(holdsSoon([&] { return stop.hasEnded(); }));
+    REQUIRE(contains(caller.receive(Milliseconds(20)), "d1"));
+    REQUIRE_FALSE(contains(caller.bytes(), "0\r\n\r\n"));
+    REQUIRE(caller.end() != RawConnection::End::Open);
+}
