Tell from the log of one instance how a connection or request ended without an answer

What was missing: an idle close, a read time-out, a malformed request, a caller that left while it sent or read too slowly, and a connection beyond the limit left no trace; a request's line did not say whether an endpoint may have run it or how much of a stream was sent on.

Now `connections_ended{reason}` counts each case, and all but the idle ones write a line within the bound of the request lines.

Test: "an instance shows the requests that run and how connections ended".

--- a/src/ingress/dispatch.cpp
+++ b/src/ingress/dispatch.cpp
@@ -272,6 +272,8 @@
         this->output += event.data;
         this->output.push_back('\n');
     }
+    ++this->outcome.events;
+    this->outcome.eventBytes += event.bytes.size();
     return this->exchange.write(event.bytes);
 }
 
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -107,6 +107,7 @@
     callerInit.listen = this->init.callers;
     callerInit.maxConnections = this->init.maxConnections;
     callerInit.limits = [this] { return this->callerLimits(); };
+    callerInit.onConnectionEnd = [this](const ConnectionEnd& end) { this->requestLog.write(end); };
     this->callerServer = std::make_unique<HttpServer>(this->runtime, std::move(callerInit),
         [this](HttpRequest request, const HttpExchange& exchange) { this->serve(std::move(request), exchange); });
     HttpServer::Init adminInit;
@@ -202,7 +203,8 @@
     const auto current = this->view();
     json::object state { { "instance", this->init.name }, { "domain", this->init.domain },
         { "incarnation", this->owner }, { "ready", this->isReady() }, { "draining", this->draining.load() },
-        { "store_reachable", this->storeHealth.isReachable() }, { "running_requests", this->running.size() } };
+        { "store_reachable", this->storeHealth.isReachable() }, { "running_requests", this->running.size() },
+        { "oldest_requests", this->describeRunning() } };
     if (current->table)
         state["desired_version"] = current->table->state().version;
     json::array evacuated;
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -27,13 +27,18 @@
     std::string detail;
     unsigned status = 0;
     int attempts = 0;
+    /// Attempts that may have run at an endpoint.
+    int runs = 0;
+    /// Events that were sent on, and their bytes.
+    std::uint64_t events = 0;
+    std::uint64_t eventBytes = 0;
     std::int64_t version = 0;
     Duration firstByte {};
     Duration total {};
     bool failed = false;
 };
 
-/// Bounds the lines about requests: failures go before successes, and what is left out is counted.
+/// Bounds the lines about requests and connections: failures go before successes, and what is left out is counted.
 class RequestLog {
 public:
     struct Init {
@@ -48,6 +53,8 @@
     }
 
     void write(const RequestOutcome& outcome);
+    /// Counts the end of a connection, and writes a line unless the connection was only idle.
+    void write(const ConnectionEnd& end);
 
 private:
     bool take(bool failed);
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -171,6 +171,7 @@
     this->outcome.request = this->request.id;
     this->outcome.program = this->request.program;
     this->outcome.attempts = this->attempts;
+    this->outcome.runs = this->runs;
     this->outcome.total = RuntimeClock::now() - this->startedAt;
     if (this->callerGone && this->outcome.result.empty())
         this->outcome.result = "caller_left";
--- a/src/ingress/requestlog.cpp
+++ b/src/ingress/requestlog.cpp
@@ -39,9 +39,21 @@
     log(outcome.failed ? LogLevel::Warning : LogLevel::Info, "request",
         { { "request", outcome.request }, { "route", outcome.route }, { "workspace", outcome.workspace },
             { "program", outcome.program }, { "endpoint", outcome.endpoint }, { "result", outcome.result },
-            { "status", std::int64_t { outcome.status } }, { "attempts", outcome.attempts },
-            { "version", outcome.version }, { "first_ms", milliseconds(outcome.firstByte) },
-            { "total_ms", milliseconds(outcome.total) }, { "detail", outcome.detail } });
+            { "status", std::int64_t { outcome.status } }, { "attempts", outcome.attempts }, { "runs", outcome.runs },
+            { "events", outcome.events }, { "event_bytes", outcome.eventBytes }, { "version", outcome.version },
+            { "first_ms", milliseconds(outcome.firstByte) }, { "total_ms", milliseconds(outcome.total) },
+            { "detail", outcome.detail } });
+}
+
+void RequestLog::write(const ConnectionEnd& end)
+{
+    this->metrics.count(fmt::format("connections_ended{{reason=\"{}\"}}", toString(end.reason)));
+    const bool wasIdle = end.reason == ConnectionEnd::Reason::Idle || end.reason == ConnectionEnd::Reason::Stopping;
+    if (wasIdle || !this->take(true))
+        return;
+    log(LogLevel::Warning, "connection ended",
+        { { "reason", std::string(toString(end.reason)) }, { "caller", end.peer.toString() }, { "path", end.path },
+            { "request_bytes", std::uint64_t { end.requestBytes } }, { "request_ms", milliseconds(end.requestAge) } });
 }
 
 } // namespace peridotramp
--- a/tests/ingress/stops.cpp
+++ b/tests/ingress/stops.cpp
@@ -29,6 +29,14 @@
         endpoint.requests(), [&](const HttpRequest& request) { return request.header("Request-Id") == id; });
 }
 
+std::string adminPage(Deployment& deployment, const Ingress& ingress, const std::string& path)
+{
+    auto done = std::make_shared<std::promise<std::string>>();
+    deployment.client.send(ingress.adminAddress(), { "GET", path, {}, {} }, { Milliseconds(5000), false },
+        [done](const HttpResult&, const HttpResponse& response) { done->set_value(response.body); });
+    return done->get_future().get();
+}
+
 /// A stop of an instance, as the process would wait for it.
 class Stop {
 public:
@@ -133,3 +141,23 @@
     REQUIRE_FALSE(contains(caller.bytes(), "0\r\n\r\n"));
     REQUIRE(caller.end() != RawConnection::End::Open);
 }
+
+// Guards against connections that end without an answer and without a trace.
+TEST_CASE("an instance shows the requests that run and how connections ended")
+{
+    Deployment deployment;
+    auto& endpoint
+        = deployment.addEndpoint("i-1", "desk", [](const HttpRequest&, const HttpExchange&) { /* never answers */ });
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    {
+        const RawConnection unfinished(ingress->address());
+        REQUIRE(unfinished.send("GET /r/x HTTP/1.1\r\nHost: h\r\n"));
+    }
+    const std::string counter = R"(peridotramp_connections_ended{reason="left_in_request"} 1)";
+    REQUIRE(holdsSoon([&] { return contains(adminPage(deployment, *ingress, "/metrics"), counter); }));
+    const RawConnection caller(ingress->address());
+    REQUIRE(caller.send(requestBytes("POST", "/w/x", "q1")));
+    REQUIRE(holdsSoon([&] { return reached(endpoint, "q1"); }));
+    REQUIRE(contains(adminPage(deployment, *ingress, "/dump"), R"("oldest_requests":"q1 write )"));
+}
