Wait for requests that are arriving when an instance stops, and pass none on at its end

A caller whose request was still arriving when nothing else ran found its connection closed, as the stop ended at once. One whose request became whole in the last moments had it passed on to an endpoint and then cut by the end of the process.

Cause: a request counted for the stop only from its last byte on, and nothing refused requests after the decision to end.

Seen before the mend: "a stopping instance waits for the rest of a request that has begun to arrive": the stop had ended; "a request that becomes whole when the grace time has ended reaches no endpoint": no 503.

Now the server counts a request from its first byte on, bounded by the read time-out and by the end of the grace time, and a request that is read after that end is refused as not run.

--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -163,6 +163,7 @@
 
 void Ingress::Impl::endRequests(const std::function<void()>& done)
 {
+    this->ending = true;
     // Records that the store does not take are no reason to wait longer.
     if (this->running.size() == 0 && this->callerServer->activeExchanges() == 0) {
         this->finishStop(done);
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -381,6 +381,8 @@
     std::atomic<bool> endpointsKnown = false;
     std::atomic<bool> membersKnown = false;
     std::atomic<bool> draining = false;
+    /// Whether the process is about to end, so that a request that has been read late is refused.
+    std::atomic<bool> ending = false;
     /// Cut off from the store and from all other failure domains.
     std::atomic<bool> isolated = false;
     RunningRequests running {};
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -192,7 +192,9 @@
     if (decoded) {
         this->request = std::move(decoded.value());
         this->lastEvent = this->request.lastEvent;
-        if (this->resolve() && this->authorize()) {
+        if (this->ingress->ending)
+            this->stop();
+        else if (this->resolve() && this->authorize()) {
             const auto longest = this->route.timeout > Milliseconds(0) ? this->route.timeout : longestRequest;
             this->deadline = this->startedAt + std::min(longest, this->request.timeLeft.value_or(longest));
             if (co_await this->beginTurn() && co_await this->admitByAllowance())
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -288,7 +288,6 @@
         std::move(message.body()) };
     this->exchangeActive = true;
     this->activeSequence = ++this->currentSequence;
-    ++this->server->exchanges;
     asio::co_spawn(this->socket.get_executor(),
         this->watchForDisconnect(this->shared_from_this(), this->currentSequence), asio::detached);
     this->server->handler(std::move(request), HttpExchange { this->shared_from_this(), this->currentSequence });
@@ -452,6 +451,8 @@
         if (!arrived)
             co_return false;
     }
+    // Counts from its first byte on, so that a server that stops knows of it.
+    ++this->server->exchanges;
     const auto limits = this->server->init.limits();
     this->requestBegan = RuntimeClock::now();
     this->parser.emplace();
@@ -467,6 +468,7 @@
     this->reportEnd(status ? refused : ConnectionEnd::Reason::LeftInRequest);
     if (status)
         co_await this->refuse(*status);
+    --this->server->exchanges;
     co_return false;
 }
 
--- a/tests/ingress/stops.cpp
+++ b/tests/ingress/stops.cpp
@@ -142,6 +142,52 @@
     REQUIRE(caller.end() != RawConnection::End::Open);
 }
 
+// Guards against requests on their way that are cut, or passed on and then cut, because nothing else runs when the
+// process stops.
+TEST_CASE("a stopping instance waits for the rest of a request that has begun to arrive")
+{
+    Deployment deployment;
+    deployment.adjust = [](IngressInit& init) {
+        stopsQuickly(init);
+        init.grace = Milliseconds(8000);
+    };
+    deployment.addEndpoint("i-1", "desk", [](const HttpRequest& request, const HttpExchange& exchange) {
+        exchange.respond({ 200, sealed(request), "done" });
+    });
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    RawConnection caller(ingress->address());
+    const auto bytes = requestBytes("POST", "/w/x", "q1");
+    REQUIRE(caller.send(bytes.substr(0, bytes.size() / 2)));
+    const Stop stop(*ingress);
+    std::this_thread::sleep_for(Milliseconds(800));
+    REQUIRE_FALSE(stop.hasEnded());
+    REQUIRE(caller.send(bytes.substr(bytes.size() / 2)));
+    REQUIRE(contains(caller.receive(answerLimit, "done"), "200 OK"));
+    REQUIRE(holdsSoon([&] { return stop.hasEnded(); }));
+}
+
+// Guards against a request that becomes whole while the process ends and is passed on and cut.
+TEST_CASE("a request that becomes whole when the grace time has ended reaches no endpoint")
+{
+    Deployment deployment;
+    deployment.adjust = stopsQuickly;
+    auto& endpoint
+        = deployment.addEndpoint("i-1", "desk", [](const HttpRequest& request, const HttpExchange& exchange) {
+              exchange.respond({ 200, sealed(request), "done" });
+          });
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    RawConnection caller(ingress->address());
+    const auto bytes = requestBytes("POST", "/w/x", "q1");
+    REQUIRE(caller.send(bytes.substr(0, bytes.size() / 2)));
+    const Stop stop(*ingress);
+    REQUIRE(holdsSoon([&] { return stop.hasEnded(); }));
+    REQUIRE(caller.send(bytes.substr(bytes.size() / 2)));
+    REQUIRE(contains(caller.receive(answerLimit, "\r\n\r\n"), "HTTP/1.1 503"));
+    REQUIRE_FALSE(reached(endpoint, "q1"));
+}
+
 // Guards against connections that end without an answer and without a trace.
 TEST_CASE("an instance shows the requests that run and how connections ended")
 {
