Survive a reload that is asked for while an ingress starts

A SIGHUP in the time between the start of the process and `watchSettings` ended it, and with it the connections that waited to be accepted.

Cause: the default action of the signal. The window lasts from the start to the end of the binding of addresses.

Seen before the mend: "a reload that is asked for while an ingress starts does not end it": 129 == 0.

Now the signal is ignored until it is listened to; the settings are read after that, so nothing is missed but a change between that read and `watchSettings`, which the next change makes good. What comes before `main` is still open.

--- a/tools/peridot-ingress/main.cpp
+++ b/tools/peridot-ingress/main.cpp
@@ -59,6 +59,8 @@
 
 int main(int argumentCount, char** arguments)
 {
+    // A reload that is asked for before `watchSettings` listens needs nothing more: the settings are read after this.
+    std::signal(SIGHUP, SIG_IGN);
     CLI::App app("peridot-ingress: HTTP front end of one instance on the platform; see docs/OPERATIONS.md");
     std::string settings;
     std::string logLevel = "info";
