--- a/include/peridotramp/tokens.h
+++ b/include/peridotramp/tokens.h
@@ -102,6 +102,8 @@
     /// Lowers the reservation of this instance to what is used and set aside. Returns the record to append, or nothing
     /// when there is nothing to give back.
     std::optional<TokenReservation> giveBack(ProgramId program, TimePoint now);
+    /// Whether tokens are set aside for turns that may still hand some out.
+    bool hasHolds(TimePoint now) const;
     /// Whether a reservation of this instance is being confirmed, so that it is not known yet how much can be given
     /// back.
     bool isReserving(ProgramId program) const;
--- a/src/decisions/tokens/tokens.cpp
+++ b/src/decisions/tokens/tokens.cpp
@@ -141,6 +141,13 @@
     return TokenReservation { program, this->init.owner, account.ownReserved, account.ownUsed, ++account.ownRevision };
 }
 
+bool TokenLedger::hasHolds(TimePoint now) const
+{
+    return std::ranges::any_of(this->programs, [&](const auto& entry) {
+        return std::ranges::any_of(entry.second.holds, [&](const auto& hold) { return hold.second.until >= now; });
+    });
+}
+
 bool TokenLedger::isReserving(ProgramId program) const
 {
     const auto found = this->programs.find(program);
--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -426,6 +426,14 @@
     co_return Result<ProgramStage>(storeLost());
 }
 
+bool Ingress::Impl::hasHolds()
+{
+    bool holds = false;
+    const auto now = RuntimeClock::now();
+    this->tokens.forEach([&](const TokenShard& shard) { holds = holds || shard.ledger->hasHolds(now); });
+    return holds;
+}
+
 void Ingress::Impl::settleTokens(ProgramId program, HoldId hold, TokenCount used)
 {
     this->tokens.with(
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -27,13 +27,18 @@
     std::string detail;
     unsigned status = 0;
     int attempts = 0;
+    /// Attempts that may have run at an endpoint.
+    int runs = 0;
+    /// Events that were sent on, and their bytes.
+    std::uint64_t events = 0;
+    std::uint64_t eventBytes = 0;
     std::int64_t version = 0;
     Duration firstByte {};
     Duration total {};
     bool failed = false;
 };
 
-/// Bounds the lines about requests: failures go before successes, and what is left out is counted.
+/// Bounds the lines about requests and connections: failures go before successes, and what is left out is counted.
 class RequestLog {
 public:
     struct Init {
@@ -48,6 +53,8 @@
     }
 
     void write(const RequestOutcome& outcome);
+    /// Counts the end of a connection, and writes a line unless the connection was only idle.
+    void write(const ConnectionEnd& end);
 
 private:
     bool take(bool failed);
@@ -61,6 +68,45 @@
     int leftOut = 0;
 };
 
+/// A request that has been read and has not ended.
+struct RunningRequest {
+    std::string request;
+    std::string route;
+    TimePoint since {};
+    /// Ends it with an answer, because the process ends.
+    std::function<void()> stop;
+};
+
+/// The requests that run. Thread-safe.
+class RunningRequests {
+public:
+    using Key = std::uint64_t;
+
+    Key add(RunningRequest request);
+    void describe(Key key, std::string_view request, std::string_view route);
+    void remove(Key key);
+    std::size_t size() const { return this->count; }
+    /// Returns the oldest requests, at most `most`.
+    std::vector<RunningRequest> oldest(std::size_t most);
+    void stopAll();
+
+private:
+    Sharded<std::map<Key, RunningRequest>> shards;
+    std::atomic<Key> lastKey = 0;
+    std::atomic<std::size_t> count = 0;
+};
+
+/// Moments of a planned stop, counted from its begin.
+struct StopPlan {
+    /// When the balancer has moved on, and idle connections close.
+    Milliseconds closeIdle { 0 };
+    /// When the requests that still run are ended.
+    Milliseconds endRequests { 0 };
+};
+
+/// Divides the grace time.
+StopPlan planStop(Milliseconds grace, Milliseconds balancerDelay);
+
 /// Operations on one program's reservation run one after another.
 struct ReservationQueue {
     bool busy = false;
@@ -132,8 +178,15 @@
     void start();
     void drain(std::function<void()> done);
     void finishDrain(const std::function<void()>& done);
-    // Calls done once nothing runs and no turn waits to be written, or at the deadline.
-    void awaitIdle(TimePoint deadline, const std::function<void()>& done);
+    /// Whether nothing runs, all answers have been written, and no turn or reservation waits to be stored.
+    bool isIdle();
+    /// Calls `next` once this instance is idle, or at the deadline.
+    void awaitIdle(TimePoint deadline, std::function<void()> next);
+    /// Ends the requests that still run, each with an answer.
+    void endRequests(const std::function<void()>& done);
+    void finishStop(const std::function<void()>& done);
+    /// Describes the oldest requests that run, for a log line.
+    std::string describeRunning();
     bool isReady();
     std::string dump();
     HttpLimits callerLimits();
@@ -292,6 +345,8 @@
     asio::awaitable<bool> reclaimTokens(asio::any_io_executor executor, ProgramId program, TimePoint deadline);
     /// Gives back what no turn of the program needs. Returns false when more will be given back later.
     asio::awaitable<bool> giveBackTokens(asio::any_io_executor executor, ProgramId program);
+    /// Whether turns that run at other instances still hold tokens of this one.
+    bool hasHolds();
     void settleTokens(ProgramId program, HoldId hold, TokenCount used);
     void applyReservations(const std::vector<StoreRecord>& records);
     /// Says for a log line what this instance knows of a program's budget and who holds how much of it.
@@ -318,6 +373,7 @@
     /// Owner name of this process in token reservations.
     std::string owner;
     TimePoint startedAt;
+    TimePoint drainBegan {};
     std::atomic<Milliseconds> grace;
     Metrics metrics {};
     RequestLog requestLog;
@@ -336,9 +392,11 @@
     std::atomic<bool> endpointsKnown = false;
     std::atomic<bool> membersKnown = false;
     std::atomic<bool> draining = false;
+    /// Whether the process is about to end, so that a request that has been read late is refused.
+    std::atomic<bool> ending = false;
     /// Cut off from the store and from all other failure domains.
     std::atomic<bool> isolated = false;
-    std::atomic<std::size_t> runningRequests = 0;
+    RunningRequests running {};
     /// Number of token holds that this process has asked for.
     std::atomic<std::uint64_t> holds = 0;
     /// Turns whose end a keeper has not confirmed yet.
