Add an error kind for answers beyond a bound, and bound the log lines that peers cause

A datagram that is no report wrote one line each, so a peer that sends such datagrams without end filled the log's queue, and other lines were dropped.

Change: ErrorKind::AnswerTooLarge, whose message names the remedy and which the adapter answers with 502, never with a status that promises "not run". LogLimiter bounds the lines about one kind of event and says how many were left out; the line about ignored reports uses it.

Evidence: "lines about what a peer causes are bounded, and the next one says how many were left out" and the adapter's test of statuses; neither has an earlier form that could fail. No test floods the datagram socket.

--- a/include/peridotramp/core.h
+++ b/include/peridotramp/core.h
@@ -169,6 +169,7 @@
     MalformedFrame,
     Overloaded,
     Internal,
+    AnswerTooLarge,
     Count
 };
 
@@ -391,6 +392,25 @@
 
 /// Writes one line: time, level, process name, message, then `key=value` pairs.
 void log(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {});
+
+/// Bounds the lines about something that a peer may cause again and again. Thread-safe.
+class LogLimiter {
+public:
+    explicit LogLimiter(int linesPerSecond = 5)
+        : linesPerSecond(linesPerSecond)
+    {
+    }
+
+    /// Returns how many lines have been left out since the last one, when a line may be written now.
+    std::optional<std::uint64_t> take();
+
+private:
+    const int linesPerSecond;
+    std::mutex mutex;
+    TimePoint second {};
+    int lines = 0;
+    std::uint64_t leftOut = 0;
+};
 /// Sets the least level that is written, the name of the process and where lines go.
 void configureLog(LogLevel least, std::string processName, LogSink sink = LogSink::StandardError);
 /// Waits until queued lines are written, at most `limit`.
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -48,6 +48,7 @@
     { "malformed_frame", "the peer sent a malformed frame; check that both sides run compatible versions" },
     { "overloaded", "a queue is full; retry after the given time" },
     { "internal", "internal error; report it with the log lines of the process" },
+    { "answer_too_large", "the peer's answer exceeds the size limit; check the peer, or raise the limit" },
 } };
 
 const ErrorText& textOf(ErrorKind kind)
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -173,6 +173,22 @@
         queue->flush(limit);
 }
 
+std::optional<std::uint64_t> LogLimiter::take()
+{
+    const std::scoped_lock lock(this->mutex);
+    const auto now = RuntimeClock::now();
+    if (now - this->second >= Seconds(1)) {
+        this->second = now;
+        this->lines = 0;
+    }
+    if (this->lines >= this->linesPerSecond) {
+        ++this->leftOut;
+        return std::nullopt;
+    }
+    ++this->lines;
+    return std::exchange(this->leftOut, 0);
+}
+
 LogLevel logLevelFromString(std::string_view name)
 {
     const auto found = std::ranges::find(levelNames, name);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -128,7 +128,10 @@
 {
     const auto beacon = decodeBeacon(bytes);
     if (!beacon) {
-        log(LogLevel::Warning, "report of an instance ignored", { { "reason", beacon.error().message() } });
+        if (const auto leftOut = this->ignoredLines.take())
+            log(LogLevel::Warning, "report of an instance ignored",
+                { { "reason", beacon.error().message() }, { "bytes", std::uint64_t { bytes.size() } },
+                    { "left_out", *leftOut } });
         return;
     }
     if (const auto* status = std::get_if<InstanceStatus>(&beacon.value()))
--- a/src/fleet/fleet_p.h
+++ b/src/fleet/fleet_p.h
@@ -58,6 +58,7 @@
     RpcClient client;
     std::unique_ptr<RpcServer> server {};
     std::unique_ptr<DatagramSocket> socket {};
+    LogLimiter ignoredLines {};
 
     mutable std::mutex mutex {};
     // All below is under the lock.
--- a/tests/adapter/adapter.cpp
+++ b/tests/adapter/adapter.cpp
@@ -87,6 +87,7 @@
     const auto statusOf = [&](ErrorKind kind) { return formats.encodeRefusal(request, { kind }).status; };
     REQUIRE(statusOf(ErrorKind::OutcomeUnknown) == 502);
     REQUIRE(statusOf(ErrorKind::EndpointFailed) == 502);
+    REQUIRE(statusOf(ErrorKind::AnswerTooLarge) == 502);
     REQUIRE(statusOf(ErrorKind::DeadlineExceeded) == 504);
     REQUIRE(statusOf(ErrorKind::BudgetExceeded) == 402);
     REQUIRE(statusOf(ErrorKind::RateExceeded) == 429);
--- a/tests/core/core.cpp
+++ b/tests/core/core.cpp
@@ -91,3 +91,18 @@
     REQUIRE(text.find("peridotramp_latency_ms_count 100") != std::string::npos);
     REQUIRE(text.find("peridotramp_latency_ms{quantile=\"0.95\"}") != std::string::npos);
 }
+
+// Guards against a log that a peer fills with lines about what it sends without end.
+TEST_CASE("lines about what a peer causes are bounded, and the next one says how many were left out")
+{
+    RuntimeClock::pause();
+    LogLimiter limiter(3);
+    for (int line = 0; line < 3; ++line)
+        REQUIRE(limiter.take() == std::uint64_t { 0 });
+    for (int line = 0; line < 100; ++line)
+        REQUIRE_FALSE(limiter.take());
+    RuntimeClock::advance(Seconds(1));
+    REQUIRE(limiter.take() == std::uint64_t { 100 });
+    REQUIRE(limiter.take() == std::uint64_t { 0 });
+    RuntimeClock::resume();
+}
