Bound the head, the body and the chunk framing of a response in the HTTP client

What callers saw: an endpoint, a store or a log service that sends bytes without end fills the memory of the process until the call's time limit; at 140 MB the process is killed with all its requests.

Cause: the body of a collected response had no bound, and the read buffer had none either. The parser holds a chunk's extensions and the trailers in it until they end. Only the head was bounded, by the parser's default of 8 KiB.

Evidence, before the change: "a body without end is cut at the bound, however it is framed" and "chunk extensions and trailers without end are cut at the bound" ended with deadline_exceeded in place of answer_too_large.

Change: HttpClient::Init has the bounds of head and body, the read buffer is as large as a head and one block, and a hook may set the bound of the body from the head. A call beyond a bound ends with AnswerTooLarge and its connection is closed.

--- a/include/peridotramp/runtime.h
+++ b/include/peridotramp/runtime.h
@@ -158,7 +158,8 @@
 
 /// How an HTTP call ended.
 struct HttpResult {
-    /// `None`, `ConnectionFailed`, `DeadlineExceeded`, `Cancelled` or `EndpointFailed` (malformed response).
+    /// `None`, `ConnectionFailed`, `DeadlineExceeded`, `Cancelled`, `EndpointFailed` (malformed response) or
+    /// `AnswerTooLarge`. A status of a response that did not end with `None` proves nothing.
     ErrorKind error = ErrorKind::None;
     /// Whether a byte of the request may have reached the peer. False proves that the request was not run.
     bool requestWritten = false;
@@ -168,6 +169,9 @@
 struct HttpClientHooks {
     /// Called with the status and headers.
     std::function<void(const HttpResponse&)> onHead {};
+    /// Returns the most bytes that the body of the response with this head may have; unless it is set,
+    /// `HttpClient::Init::maxBodyBytes` holds.
+    std::function<std::size_t(const HttpResponse&)> bodyLimit {};
     /// Called with each part of the body.
     std::function<void(std::string_view)> onBody {};
     /// Called exactly once.
@@ -182,6 +186,10 @@
         std::size_t maxIdleConnections = 32;
         /// Time after which an idle connection is not used again, unless the peer stated a shorter one.
         Milliseconds maxIdle { 4000 };
+        /// Bytes of the head of a response. A chunk header and the trailers may take a block of the read buffer more.
+        std::size_t maxHeadBytes = std::size_t { 16 } * 1024;
+        /// Bytes of the body of a response. A peer in trouble may send without end.
+        std::size_t maxBodyBytes = std::size_t { 16 } * 1024 * 1024;
     };
     struct Options {
         /// Time for the whole call.
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -14,6 +14,16 @@
 // Margin before the idle time-out that a peer states, for what is under way when it closes the connection.
 constexpr Milliseconds idleMargin { 500 };
 
+using ResponseParser = http::response_parser<http::buffer_body>;
+
+// Whether a response was given up because it exceeds a bound.
+bool isTooLarge(const boost::system::error_code& error)
+{
+    // The read buffer is as large as a head may be, so it overflows with chunk extensions and trailers without end.
+    return error == http::error::body_limit || error == http::error::header_limit
+        || error == http::error::buffer_overflow;
+}
+
 // Returns the idle time-out of a `Keep-Alive` header.
 std::optional<Seconds> statedIdleTimeout(const http::fields& fields)
 {
@@ -47,7 +57,7 @@
     Sharded<IdleStreams, 4> idle {};
 };
 
-// One call. Everything but `cancelled` is touched on the strand of its stream only.
+// One call. Everything but the atomic members is touched on the strand of its stream only.
 struct HttpClient::Call::State : std::enable_shared_from_this<HttpClient::Call::State> {
     State(std::shared_ptr<Impl> client, Address address, HttpRequest request, Options options, HttpClientHooks hooks)
         : client(std::move(client))
@@ -63,9 +73,11 @@
     asio::awaitable<boost::system::error_code> connect();
     asio::awaitable<boost::system::error_code> exchange();
     asio::awaitable<void> writeRequest(std::shared_ptr<State> self, http::request<http::string_body> message);
-    bool canReuse(const http::response_parser<http::buffer_body>& parser, const beast::flat_buffer& buffer) const;
+    bool canReuse(const ResponseParser& parser, const beast::flat_buffer& buffer) const;
+    asio::awaitable<boost::system::error_code> readHead(
+        std::optional<ResponseParser>& parser, beast::flat_buffer& buffer);
     asio::awaitable<boost::system::error_code> readBody(
-        http::response_parser<http::buffer_body>& parser, beast::flat_buffer& buffer);
+        ResponseParser& parser, beast::flat_buffer& buffer, std::size_t limit);
     ErrorKind kindOf(const boost::system::error_code& error) const;
 
     std::shared_ptr<Impl> client;
@@ -120,6 +132,8 @@
         return ErrorKind::Cancelled;
     if (error == beast::error::timeout)
         return ErrorKind::DeadlineExceeded;
+    if (isTooLarge(error))
+        return ErrorKind::AnswerTooLarge;
     return isParseError(error) ? ErrorKind::EndpointFailed : ErrorKind::ConnectionFailed;
 }
 
@@ -137,15 +151,35 @@
     co_return connectError;
 }
 
+// Reads the head of the response.
+asio::awaitable<boost::system::error_code> HttpClient::Call::State::readHead(
+    std::optional<ResponseParser>& parser, beast::flat_buffer& buffer)
+{
+    parser.emplace();
+    // The bound of the body is known when the head is.
+    parser->body_limit(boost::none);
+    parser->header_limit(static_cast<std::uint32_t>(this->client->init.maxHeadBytes));
+    if (this->request.method == "HEAD")
+        parser->skip(true);
+    const auto [error, bytes] = co_await http::async_read_header(*this->stream, buffer, *parser, asTuple);
+    co_return error;
+}
+
 asio::awaitable<boost::system::error_code> HttpClient::Call::State::readBody(
-    http::response_parser<http::buffer_body>& parser, beast::flat_buffer& buffer)
+    ResponseParser& parser, beast::flat_buffer& buffer, std::size_t limit)
 {
+    const auto stated = parser.content_length();
+    if (!parser.is_done() && stated && *stated > limit)
+        co_return make_error_code(http::error::body_limit);
     std::array<char, std::size_t { 16 } * 1024> block {};
     while (!parser.is_done()) {
         parser.get().body().data = block.data();
         parser.get().body().size = block.size();
         auto [error, bytes] = co_await http::async_read_some(*this->stream, buffer, parser, asTuple);
         const auto size = block.size() - parser.get().body().size;
+        if (size > limit)
+            co_return make_error_code(http::error::body_limit);
+        limit -= size;
         if (size > 0 && this->hooks.onBody && !this->cancelled)
             this->hooks.onBody({ block.data(), size });
         if (error && error != http::error::need_buffer)
@@ -162,8 +196,7 @@
     this->requestSent = !error;
 }
 
-bool HttpClient::Call::State::canReuse(
-    const http::response_parser<http::buffer_body>& parser, const beast::flat_buffer& buffer) const
+bool HttpClient::Call::State::canReuse(const ResponseParser& parser, const beast::flat_buffer& buffer) const
 {
     // Bytes behind a complete answer belong to no request.
     return this->requestSent && parser.get().keep_alive() && buffer.size() == 0;
@@ -183,21 +216,20 @@
     this->stream->expires_after(this->options.timeout);
     this->result.requestWritten = true;
     asio::co_spawn(this->executor, this->writeRequest(this->shared_from_this(), std::move(message)), asio::detached);
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
-    if (this->request.method == "HEAD")
-        parser.skip(true);
-    beast::flat_buffer buffer;
-    auto [headError, headBytes] = co_await http::async_read_header(*this->stream, buffer, parser, asTuple);
+    std::optional<ResponseParser> parser;
+    beast::flat_buffer buffer(this->client->init.maxHeadBytes + maxReadBytes);
+    const auto headError = co_await this->readHead(parser, buffer);
     if (headError)
         co_return headError;
-    this->result.status = parser.get().result_int();
+    const HttpResponse head { parser->get().result_int(), headersOf(parser->get()), {} };
+    this->result.status = head.status;
     if (this->hooks.onHead)
-        this->hooks.onHead({ this->result.status, headersOf(parser.get()), {} });
-    const auto bodyError = co_await this->readBody(parser, buffer);
-    this->keepAlive = !bodyError && this->canReuse(parser, buffer);
+        this->hooks.onHead(head);
+    const auto limit = this->hooks.bodyLimit ? this->hooks.bodyLimit(head) : this->client->init.maxBodyBytes;
+    const auto bodyError = co_await this->readBody(*parser, buffer, limit);
+    this->keepAlive = !bodyError && this->canReuse(*parser, buffer);
     this->idleTime = this->client->init.maxIdle;
-    if (const auto stated = statedIdleTimeout(parser.get()))
+    if (const auto stated = statedIdleTimeout(parser->get()))
         this->idleTime = std::min<Milliseconds>(this->idleTime, *stated - idleMargin);
     co_return bodyError;
 }
--- a/src/runtime/runtime_p.h
+++ b/src/runtime/runtime_p.h
@@ -35,6 +35,9 @@
         fields.insert(header.name, header.value);
 }
 
+/// Most bytes that are read from a connection at once.
+constexpr std::size_t maxReadBytes = std::size_t { 64 } * 1024;
+
 /// Time after which the kernel gives up a connection whose peer acknowledges nothing, in milliseconds.
 constexpr int unacknowledgedTimeoutMs = 2500;
 
--- /dev/null
+++ b/tests/runtime/endless.cpp
@@ -0,0 +1,145 @@
+#include "../floodserver.h"
+#include "../soon.h"
+#include "peridotramp/runtime.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace peridotramp;
+
+namespace {
+
+constexpr std::size_t bodyLimit = std::size_t { 256 } * 1024;
+// What a socket may take beyond what its peer has read: the buffers of both ends.
+constexpr std::size_t socketBytes = std::size_t { 16 } * 1024 * 1024;
+
+struct Answer {
+    HttpResult result;
+    HttpResponse response;
+};
+
+struct Caller {
+    Runtime runtime;
+    HttpClient client { this->runtime, { .maxBodyBytes = bodyLimit } };
+
+    Caller() { this->runtime.start(); }
+
+    Answer fetch(const Address& address, HttpRequest request = {})
+    {
+        std::promise<Answer> promise;
+        this->client.send(address, std::move(request), { Milliseconds(5000) },
+            [&](HttpResult result, HttpResponse response) { promise.set_value({ result, std::move(response) }); });
+        return promise.get_future().get();
+    }
+};
+
+FloodServer::Init flood(const std::string& opening, const std::string& repeated)
+{
+    FloodServer::Init init;
+    init.opening = [opening](const std::string&) { return opening; };
+    init.repeated = repeated;
+    return init;
+}
+
+const std::string block(std::size_t { 16 } * 1024, 'x');
+const std::string chunk = "4000\r\n" + block + "\r\n";
+
+// Checks that an answer is given up as too large, that its connection is closed, and that little of it was read.
+void requireCut(const FloodServer::Init& init)
+{
+    Caller caller;
+    FloodServer server(init);
+    const auto answer = caller.fetch(server.address());
+    REQUIRE(answer.result.error == ErrorKind::AnswerTooLarge);
+    REQUIRE(answer.result.requestWritten);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+    REQUIRE(server.sentBytes() < bodyLimit + socketBytes);
+    REQUIRE(answer.response.body.size() <= bodyLimit);
+}
+
+} // namespace
+
+// Guards against a process that is killed for its memory because a peer in trouble sends a body without end.
+TEST_CASE("a body without end is cut at the bound, however it is framed")
+{
+    requireCut(flood("HTTP/1.1 200 OK\r\n\r\n", block));
+    requireCut(flood("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", block));
+    requireCut(flood("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk));
+    requireCut(flood("HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n", block));
+}
+
+TEST_CASE("the bound of a body may depend on the head of the response")
+{
+    Caller caller;
+    FloodServer server(flood("HTTP/1.1 503 Full\r\n\r\n", block));
+    std::promise<HttpResult> ended;
+    std::size_t received = 0;
+    HttpClientHooks hooks;
+    hooks.bodyLimit = [](const HttpResponse& head) { return head.status == 503 ? std::size_t { 1000 } : bodyLimit; };
+    hooks.onBody = [&](std::string_view part) { received += part.size(); };
+    hooks.onEnd = [&](HttpResult result) { ended.set_value(result); };
+    caller.client.stream(server.address(), {}, {}, std::move(hooks));
+    REQUIRE(ended.get_future().get().error == ErrorKind::AnswerTooLarge);
+    REQUIRE(received <= 1000);
+}
+
+TEST_CASE("a body as large as the bound is whole")
+{
+    Caller caller;
+    HttpServer server(caller.runtime, {}, [](const HttpRequest&, const HttpExchange& exchange) {
+        exchange.respond({ 200, {}, std::string(bodyLimit, 'x') });
+    });
+    const auto answer = caller.fetch(server.address());
+    REQUIRE(answer.result.error == ErrorKind::None);
+    REQUIRE(answer.response.body.size() == bodyLimit);
+}
+
+// Guards against an unbounded read buffer: the parser holds a chunk's extensions and the trailers until they end.
+TEST_CASE("chunk extensions and trailers without end are cut at the bound")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    requireCut(flood(head + "4;name=", block));
+    requireCut(flood(head + "1\r\nx\r\n0\r\n", "Name: value\r\n"));
+    requireCut(flood(head + "0\r\nName: ", block));
+}
+
+TEST_CASE("a head without end is cut at the bound")
+{
+    requireCut(flood("HTTP/1.1 200 ", block));
+    requireCut(flood("HTTP/1.1 200 OK\r\nName: ", block));
+    requireCut(flood("HTTP/1.1 200 OK\r\n", "Name: value\r\n"));
+}
+
+TEST_CASE("bytes that are no answer end the call and the connection")
+{
+    Caller caller;
+    FloodServer server(flood("", block));
+    const auto answer = caller.fetch(server.address());
+    REQUIRE(answer.result.error == ErrorKind::EndpointFailed);
+    REQUIRE(answer.response.status == 0);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+    REQUIRE(server.sentBytes() < socketBytes);
+}
+
+// Guards against bytes behind an answer that are taken for the answer to the next request.
+TEST_CASE("bytes without end behind an answer close its connection and do not spoil it")
+{
+    Caller caller;
+    const std::string answerBytes = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    FloodServer server(flood(answerBytes + block, block));
+    for (std::size_t round = 1; round <= 3; ++round) {
+        const auto answer = caller.fetch(server.address());
+        REQUIRE(answer.result.error == ErrorKind::None);
+        REQUIRE(answer.response.body == "done");
+        REQUIRE(server.connections() == round);
+    }
+    REQUIRE(server.sentBytes() < 3 * socketBytes);
+    // Bytes that come once the connection is in use again are no answer either.
+    FloodServer late(flood(answerBytes, block));
+    for (int round = 0; round < 20; ++round) {
+        const auto answer = caller.fetch(late.address());
+        const bool isWhole = answer.result.error == ErrorKind::None && answer.response.body == "done";
+        const bool isFailed = answer.result.error == ErrorKind::EndpointFailed && answer.response.status == 0;
+        REQUIRE((isWhole || isFailed));
+    }
+}
