Pass over interim responses in the HTTP client

What callers saw: an endpoint that sends 100 or 103 before its answer got the request failed, and one that repeats the request's id in a 103 would have had that passed on as the answer.

Cause: the client took the first head as the head of the answer.

--- a/include/peridotramp/runtime.h
+++ b/include/peridotramp/runtime.h
@@ -186,7 +186,8 @@
         std::size_t maxIdleConnections = 32;
         /// Time after which an idle connection is not used again, unless the peer stated a shorter one.
         Milliseconds maxIdle { 4000 };
-        /// Bytes of the head of a response. A chunk header and the trailers may take a block of the read buffer more.
+        /// Bytes of the head of a response with the interim heads before it. A chunk header and the trailers may take
+        /// a block of the read buffer more.
         std::size_t maxHeadBytes = std::size_t { 16 } * 1024;
         /// Bytes of the body of a response. A peer in trouble may send without end.
         std::size_t maxBodyBytes = std::size_t { 16 } * 1024 * 1024;
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -14,6 +14,9 @@
 // Margin before the idle time-out that a peer states, for what is under way when it closes the connection.
 constexpr Milliseconds idleMargin { 500 };
 
+// Interim responses have a lower status.
+constexpr unsigned firstFinalStatus = 200;
+
 using ResponseParser = http::response_parser<http::buffer_body>;
 
 // Whether a response was given up because it exceeds a bound.
@@ -151,18 +154,31 @@
     co_return connectError;
 }
 
-// Reads the head of the response.
+// Reads the head of the response; interim responses before it are passed over.
 asio::awaitable<boost::system::error_code> HttpClient::Call::State::readHead(
     std::optional<ResponseParser>& parser, beast::flat_buffer& buffer)
 {
-    parser.emplace();
-    // The bound of the body is known when the head is.
-    parser->body_limit(boost::none);
-    parser->header_limit(static_cast<std::uint32_t>(this->client->init.maxHeadBytes));
-    if (this->request.method == "HEAD")
-        parser->skip(true);
-    const auto [error, bytes] = co_await http::async_read_header(*this->stream, buffer, *parser, asTuple);
-    co_return error;
+    auto bytesLeft = this->client->init.maxHeadBytes;
+    while (true) {
+        parser.emplace();
+        // The bound of the body is known when the head is.
+        parser->body_limit(boost::none);
+        parser->header_limit(static_cast<std::uint32_t>(bytesLeft));
+        if (this->request.method == "HEAD")
+            parser->skip(true);
+        const auto [error, bytes] = co_await http::async_read_header(*this->stream, buffer, *parser, asTuple);
+        if (error)
+            co_return error;
+        const auto status = parser->get().result_int();
+        // No request asks for another protocol.
+        if (status == static_cast<unsigned>(http::status::switching_protocols))
+            co_return make_error_code(http::error::bad_status);
+        if (status >= firstFinalStatus)
+            co_return boost::system::error_code {};
+        if (bytes >= bytesLeft)
+            co_return make_error_code(http::error::header_limit);
+        bytesLeft -= bytes;
+    }
 }
 
 asio::awaitable<boost::system::error_code> HttpClient::Call::State::readBody(
--- a/tests/runtime/endless.cpp
+++ b/tests/runtime/endless.cpp
@@ -121,6 +121,22 @@
     REQUIRE(server.sentBytes() < socketBytes);
 }
 
+// Guards against an interim response that is taken for the answer.
+TEST_CASE("interim responses go before the answer, within the bound of its head")
+{
+    Caller caller;
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+    FloodServer server(
+        flood("HTTP/1.1 100 Continue\r\n\r\n" + interim + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", ""));
+    const auto answer = caller.fetch(server.address());
+    REQUIRE(answer.result.error == ErrorKind::None);
+    REQUIRE(answer.response.status == 200);
+    REQUIRE(answer.response.body == "done");
+    requireCut(flood("", interim));
+    FloodServer switching(flood("HTTP/1.1 101 Switching Protocols\r\n\r\n", block));
+    REQUIRE(caller.fetch(switching.address()).result.error == ErrorKind::EndpointFailed);
+}
+
 // Guards against bytes behind an answer that are taken for the answer to the next request.
 TEST_CASE("bytes without end behind an answer close its connection and do not spoil it")
 {
