Let a call read no more than a window ahead of its consumer

What callers saw: nothing yet but memory. What an endpoint sends is queued for the request, which runs on another strand; while the request is slower than the endpoint the queue grows with all that arrives.

Cause: the client read on without regard to what had been consumed.

Evidence, before the change: "a call reads no more than its window ahead of what has been consumed" failed with 791552 < 81920.

Change: HttpClient::Options::window, in bytes, and Call::consume. The client waits for the window to open, for the call's time limit at most; a call that is cancelled meanwhile reads nothing more.

--- a/include/peridotramp/runtime.h
+++ b/include/peridotramp/runtime.h
@@ -197,12 +197,17 @@
         Milliseconds timeout { 30'000 };
         /// Whether an idle connection may be used. A fresh one tells more surely whether a request was written.
         bool reuseConnection = true;
+        /// Bytes of the body that `onBody` got and that have not been consumed, beyond which nothing more is read; 0
+        /// when `onBody` consumes them itself.
+        std::size_t window = 0;
     };
     /// A running call.
     class Call {
     public:
         /// Closes the connection of the call; `onEnd` reports `Cancelled` unless the call has ended.
         void cancel() const;
+        /// Opens the window of the call by bytes that have been consumed.
+        void consume(std::size_t bytes) const;
 
         struct State;
         std::weak_ptr<State> state;
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -81,6 +81,7 @@
         std::optional<ResponseParser>& parser, beast::flat_buffer& buffer);
     asio::awaitable<boost::system::error_code> readBody(
         ResponseParser& parser, beast::flat_buffer& buffer, std::size_t limit);
+    asio::awaitable<boost::system::error_code> awaitWindow();
     ErrorKind kindOf(const boost::system::error_code& error) const;
 
     std::shared_ptr<Impl> client;
@@ -95,6 +96,10 @@
     bool requestSent = false;
     Milliseconds idleTime { 0 };
     std::atomic<bool> cancelled = false;
+    // Bytes of the body that the hook got and that have not been consumed, for calls with a window.
+    std::atomic<std::size_t> unconsumed = 0;
+    std::optional<asio::steady_timer> windowTimer {};
+    std::chrono::steady_clock::time_point deadline {};
 };
 
 std::unique_ptr<beast::tcp_stream> HttpClient::Impl::takeIdle(const Address& address)
@@ -181,6 +186,20 @@
     }
 }
 
+// Waits until less than the window is unconsumed. A call that is cancelled meanwhile reads nothing more.
+asio::awaitable<boost::system::error_code> HttpClient::Call::State::awaitWindow()
+{
+    while (this->options.window > 0 && this->unconsumed >= this->options.window && !this->cancelled) {
+        if (std::chrono::steady_clock::now() >= this->deadline)
+            co_return make_error_code(beast::error::timeout);
+        this->windowTimer->expires_at(this->deadline);
+        co_await this->windowTimer->async_wait(asTuple);
+    }
+    if (this->cancelled)
+        co_return boost::system::error_code(asio::error::operation_aborted);
+    co_return boost::system::error_code {};
+}
+
 asio::awaitable<boost::system::error_code> HttpClient::Call::State::readBody(
     ResponseParser& parser, beast::flat_buffer& buffer, std::size_t limit)
 {
@@ -189,6 +208,8 @@
         co_return make_error_code(http::error::body_limit);
     std::array<char, std::size_t { 16 } * 1024> block {};
     while (!parser.is_done()) {
+        if (const auto windowError = co_await this->awaitWindow())
+            co_return windowError;
         parser.get().body().data = block.data();
         parser.get().body().size = block.size();
         auto [error, bytes] = co_await http::async_read_some(*this->stream, buffer, parser, asTuple);
@@ -196,6 +217,8 @@
         if (size > limit)
             co_return make_error_code(http::error::body_limit);
         limit -= size;
+        if (this->options.window > 0)
+            this->unconsumed += size;
         if (size > 0 && this->hooks.onBody && !this->cancelled)
             this->hooks.onBody({ block.data(), size });
         if (error && error != http::error::need_buffer)
@@ -230,6 +253,8 @@
     message.body() = std::move(this->request.body);
     message.prepare_payload();
     this->stream->expires_after(this->options.timeout);
+    this->deadline = std::chrono::steady_clock::now() + this->options.timeout;
+    this->windowTimer.emplace(this->executor);
     this->result.requestWritten = true;
     asio::co_spawn(this->executor, this->writeRequest(this->shared_from_this(), std::move(message)), asio::detached);
     std::optional<ResponseParser> parser;
@@ -280,6 +305,22 @@
     asio::post(call->executor, [call] {
         if (call->stream)
             call->stream->cancel();
+        if (call->windowTimer)
+            call->windowTimer->cancel();
+    });
+}
+
+void HttpClient::Call::consume(std::size_t bytes) const
+{
+    const auto call = this->state.lock();
+    if (!call || call->options.window == 0)
+        return;
+    const auto before = call->unconsumed.fetch_sub(bytes);
+    if (before < call->options.window || before - bytes >= call->options.window)
+        return;
+    asio::post(call->executor, [call] {
+        if (call->windowTimer)
+            call->windowTimer->cancel();
     });
 }
 
--- a/tests/runtime/endless.cpp
+++ b/tests/runtime/endless.cpp
@@ -159,3 +159,47 @@
         REQUIRE((isWhole || isFailed));
     }
 }
+
+// Guards against memory that grows because a reader is slower than the peer.
+TEST_CASE("a call reads no more than its window ahead of what has been consumed")
+{
+    constexpr std::size_t window = std::size_t { 64 } * 1024;
+    constexpr std::size_t block16 = std::size_t { 16 } * 1024;
+    Caller caller;
+    FloodServer server(flood("HTTP/1.1 200 OK\r\n\r\n", block));
+    std::atomic<std::size_t> received = 0;
+    std::promise<HttpResult> ended;
+    HttpClientHooks hooks;
+    hooks.bodyLimit = [](const HttpResponse&) { return std::numeric_limits<std::size_t>::max(); };
+    hooks.onBody = [&](std::string_view part) { received += part.size(); };
+    hooks.onEnd = [&](HttpResult result) { ended.set_value(result); };
+    const auto call
+        = caller.client.stream(server.address(), {}, { Milliseconds(30'000), true, window }, std::move(hooks));
+    std::size_t consumed = 0;
+    for (int round = 0; round < 50; ++round) {
+        REQUIRE(holdsSoon([&] { return received >= consumed + window; }));
+        std::this_thread::sleep_for(Milliseconds(2));
+        const auto ahead = received - consumed;
+        REQUIRE(ahead < window + block16);
+        consumed += ahead;
+        call.consume(ahead);
+    }
+    call.cancel();
+    auto result = ended.get_future();
+    REQUIRE(result.wait_for(testLimit) == std::future_status::ready);
+    REQUIRE(result.get().error == ErrorKind::Cancelled);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+}
+
+TEST_CASE("a call whose window stays closed ends at its time limit")
+{
+    Caller caller;
+    FloodServer server(flood("HTTP/1.1 200 OK\r\n\r\n", block));
+    std::promise<HttpResult> ended;
+    HttpClientHooks hooks;
+    hooks.bodyLimit = [](const HttpResponse&) { return std::numeric_limits<std::size_t>::max(); };
+    hooks.onEnd = [&](HttpResult result) { ended.set_value(result); };
+    caller.client.stream(server.address(), {}, { Milliseconds(300), true, 1000 }, std::move(hooks));
+    REQUIRE(ended.get_future().get().error == ErrorKind::DeadlineExceeded);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+}
