Bound the chunk extensions and the trailers of a caller's request

What callers saw: nothing; but a caller whose request has a chunk extension or trailers without end filled the memory of the process until the read time-out.

Cause: the read buffer of a connection had no bound, and the parser holds both in it until they end; the limits of head and body do not count them.

Change: the buffer holds a head and one block. Beyond it the request is refused with 431 and the connection closed.

--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -233,7 +233,8 @@
 {
     if (error == http::error::body_limit)
         return http::status::payload_too_large;
-    if (error == http::error::header_limit)
+    // The read buffer is as large as a head may be, so it overflows with chunk extensions and trailers without end.
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return http::status::request_header_fields_too_large;
     if (error == beast::error::timeout)
         return http::status::request_timeout;
@@ -271,6 +272,7 @@
         this->buffer.commit(received);
         limits = this->server->init.limits();
     }
+    this->buffer.max_size(std::max(this->buffer.size(), limits.maxHeaderBytes) + maxReadBytes);
     this->parser.emplace();
     this->parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     this->parser->body_limit(limits.maxBodyBytes);
--- a/tests/runtime/endless.cpp
+++ b/tests/runtime/endless.cpp
@@ -203,3 +203,29 @@
     REQUIRE(ended.get_future().get().error == ErrorKind::DeadlineExceeded);
     REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
 }
+
+// Guards against a caller that fills the memory with bytes that belong to no part of a request.
+TEST_CASE("a request whose chunk extensions or trailers have no end is refused and does not reach the handler")
+{
+    constexpr std::size_t mostBytes = std::size_t { 64 } * 1024 * 1024;
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string opening : { "4;name=", "1\r\nx\r\n0\r\nName: " }) {
+        Runtime runtime;
+        runtime.start();
+        std::atomic<int> handled = 0;
+        HttpServer server(runtime, {}, [&](const HttpRequest&, const HttpExchange& exchange) {
+            ++handled;
+            exchange.respond({});
+        });
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({ asio::ip::address_v4::loopback(), server.address().port });
+        asio::write(socket, asio::buffer(head + opening));
+        std::size_t sent = 0;
+        boost::system::error_code error;
+        while (!error && sent < mostBytes)
+            sent += asio::write(socket, asio::buffer(block), error);
+        REQUIRE(sent < socketBytes);
+        REQUIRE(handled == 0);
+    }
+}
