Bound the bytes of one event in the event splitter, and search each byte once

What callers saw: an endpoint that begins an event and never ends it kept the request, its memory and a thread busy: the splitter held all bytes and searched them from the start with each block.

Cause: no bound on an incomplete event, and a search whose cost grows with the square of its bytes.

Evidence, before the change: "an event beyond the limit is not held, and nothing comes out behind it" failed with `splitter.isTooLarge()` false.

--- a/src/decisions/streams/streams.cpp
+++ b/src/decisions/streams/streams.cpp
@@ -4,21 +4,6 @@
 
 namespace {
 
-// Returns the length of the first event in `bytes` with the empty line behind it; 0 when it is incomplete.
-std::size_t eventLength(std::string_view bytes)
-{
-    std::size_t lineStart = 0;
-    while (true) {
-        const auto lineFeed = bytes.find('\n', lineStart);
-        if (lineFeed == std::string_view::npos)
-            return 0;
-        const auto line = bytes.substr(lineStart, lineFeed - lineStart);
-        lineStart = lineFeed + 1;
-        if (line.empty() || line == "\r")
-            return lineStart;
-    }
-}
-
 std::string_view valueOf(std::string_view line, std::size_t colon)
 {
     auto value = line.substr(colon + 1);
@@ -55,17 +40,52 @@
 
 } // namespace
 
+std::size_t EventSplitter::nextEnd()
+{
+    while (true) {
+        const auto lineFeed = this->pending.find('\n', this->searchFrom);
+        if (lineFeed == std::string::npos) {
+            this->searchFrom = this->pending.size();
+            return 0;
+        }
+        const auto line = std::string_view(this->pending).substr(this->lineStart, lineFeed - this->lineStart);
+        const bool isEmpty = line.empty() || line == "\r";
+        this->lineStart = lineFeed + 1;
+        this->searchFrom = this->lineStart;
+        if (isEmpty)
+            return this->lineStart;
+    }
+}
+
 std::vector<StreamEvent> EventSplitter::add(std::string_view bytes)
 {
-    this->pending += bytes;
     std::vector<StreamEvent> events;
-    std::string_view rest = this->pending;
-    for (auto length = eventLength(rest); length > 0; length = eventLength(rest)) {
-        events.push_back(parseEvent(rest.substr(0, length)));
-        rest.remove_prefix(length);
+    if (this->tooLarge)
+        return events;
+    this->pending += bytes;
+    std::size_t begin = 0;
+    for (auto end = this->nextEnd(); end > 0; end = this->nextEnd()) {
+        if (end - begin > this->limits.maxEventBytes)
+            break;
+        events.push_back(parseEvent(std::string_view(this->pending).substr(begin, end - begin)));
+        begin = end;
+    }
+    this->pending.erase(0, begin);
+    this->lineStart -= begin;
+    this->searchFrom -= begin;
+    if (this->pending.size() > this->limits.maxEventBytes) {
+        this->tooLarge = true;
+        this->pending.clear();
     }
-    this->pending.erase(0, this->pending.size() - rest.size());
     return events;
 }
 
+void EventSplitter::reset()
+{
+    this->pending.clear();
+    this->lineStart = 0;
+    this->searchFrom = 0;
+    this->tooLarge = false;
+}
+
 } // namespace peridotramp
--- a/tests/streams/streams.cpp
+++ b/tests/streams/streams.cpp
@@ -35,3 +35,34 @@
     REQUIRE(events.size() == 1);
     REQUIRE(events.front().data == "y");
 }
+
+// Guards against an endpoint that fills the memory with one event, and against a search from the start of the event
+// with each block of bytes, whose cost grows with the square of the bytes.
+TEST_CASE("an event beyond the limit is not held, and nothing comes out behind it")
+{
+    constexpr std::size_t limit = 1000;
+    const std::string line(100, 'x');
+    EventSplitter splitter({ limit });
+    REQUIRE(splitter.add("id: 1\ndata: y\n\nid: 2\ndata: ").size() == 1);
+    for (int part = 0; part < 100; ++part)
+        REQUIRE(splitter.add(line + "\n").empty());
+    REQUIRE(splitter.isTooLarge());
+    REQUIRE(splitter.add("\n\nid: 3\ndata: z\n\n").empty());
+    splitter.reset();
+    REQUIRE_FALSE(splitter.isTooLarge());
+    REQUIRE(splitter.add("id: 3\ndata: z\n\n").size() == 1);
+}
+
+TEST_CASE("events up to the limit come out, many of them in one block")
+{
+    const std::string event = "id: 1\ndata: " + std::string(986, 'x') + "\n\n";
+    EventSplitter splitter({ event.size() });
+    std::string many;
+    for (int index = 0; index < 50; ++index)
+        many += event;
+    REQUIRE(splitter.add(many).size() == 50);
+    REQUIRE_FALSE(splitter.isTooLarge());
+    REQUIRE(splitter.add(event.substr(0, 500)).empty());
+    REQUIRE(splitter.add(event.substr(500) + "x").size() == 1);
+    REQUIRE(splitter.hasPartialEvent());
+}
