Cut an endpoint's answer that exceeds a bound, and serve the request elsewhere where it may be repeated

What callers saw when an endpoint sends without end: a resumable stream timed out in place of going on at another endpoint; a program got events far beyond its budget; the instance read on for each request until its time limit, also behind a refusal that nobody waits for, and could be killed for its memory with all its requests.

Cause: of what endpoints send only whole answers had a bound, each for itself and only after the bytes had been queued. Missing were bounds for one event, for the body of a refusal, for the events of a turn and for all held answers together.

Change: the bound of a body follows from its head: 64 KiB for a refusal, answer_bytes for a whole answer, none for a stream, whose events are bounded one by one (event_bytes). All whole answers together take held_answer_bytes; one up to 256 KiB is held in any case, so that small answers go on. A stream is cut when it exceeds the most tokens of its request by as much again, which is what the rule on budgets allows a program, or when its turn cannot be stored. The call reads 256 KiB ahead. Such an attempt has failed with an unknown outcome: idempotent calls and resumable streams go elsewhere, all else ends with 502 or is cut, and the endpoint counts as failed for the choice of endpoints. The line "answer too large" and the counter answers_too_large{peer} tell it.

These bounds share the head's decision and one coroutine, so they are one commit.

--- a/include/peridotramp/ingress.h
+++ b/include/peridotramp/ingress.h
@@ -94,6 +94,14 @@
     Address store;
     std::int64_t storePartitions = 1;
     ByteCount storeRecordBytes { 262'144 };
+    /// Bytes of records that one call of the store may carry.
+    ByteCount storeCallBytes { 2'097'152 };
+    /// Bytes of the whole answer of an endpoint, which is held in memory until it is complete.
+    ByteCount answerBytes { std::int64_t { 16 } * 1024 * 1024 };
+    /// Bytes that the answers of all endpoints may take together while they are held.
+    ByteCount heldAnswerBytes { std::int64_t { 32 } * 1024 * 1024 };
+    /// Bytes of one event of a stream.
+    ByteCount eventBytes { std::int64_t { 256 } * 1024 };
     /// Whether the whole system starts for the first time, so that the store holds nothing of ours.
     bool firstStart = false;
     std::size_t threads = 2;
--- a/src/ingress/dispatch.cpp
+++ b/src/ingress/dispatch.cpp
@@ -1,6 +1,9 @@
 #include "request_p.h"
 
+#include "../runtime/runtime_p.h"
+
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace peridotramp {
 
@@ -17,8 +20,17 @@
 constexpr int mostAttempts = 12;
 // Time for which the end of a response is held back until its turn is kept; callers give up a silent stream later.
 constexpr Milliseconds keepLimit { 2000 };
-// Whole answers are held in memory until they are complete.
-constexpr std::size_t mostWholeBytes = std::size_t { 16 } * 1024 * 1024;
+// Bytes of an answer that have been read and that the request has not taken yet.
+constexpr std::size_t answerWindow = std::size_t { 256 } * 1024;
+// The body of a refusal is read only so that its connection can be kept.
+constexpr std::size_t refusalBytes = std::size_t { 64 } * 1024;
+// Bytes of an answer that are held even while other answers take all memory that they may take together.
+constexpr std::size_t smallAnswerBytes = std::size_t { 256 } * 1024;
+constexpr ByteCount headBytes { static_cast<std::int64_t>(HttpClient::Init {}.maxHeadBytes) };
+// Of a chunk header, or of the trailers.
+constexpr ByteCount framingBytes { headBytes.value + static_cast<std::int64_t>(maxReadBytes) };
+
+bool isSuccess(const EndpointHead& head) { return head.status >= 200 && head.status < 300; }
 
 } // namespace
 
@@ -129,17 +141,16 @@
             co_return std::nullopt;
         // The departure of the caller concerns every attempt.
         if (event->attempt == this->attempts || std::holds_alternative<CallerLeft>(event->event)) {
+            if (const auto* part = std::get_if<BodyArrived>(&event->event))
+                this->call.consume(part->bytes.size());
             std::optional<RequestEvent> current(std::move(event->event));
             co_return current;
         }
     }
 }
 
-asio::awaitable<AttemptEnd> RequestRun::attempt(DispatchChoice choice)
+void RequestRun::startCall(const DispatchChoice& choice)
 {
-    const auto number = ++this->attempts;
-    this->offered = true;
-    this->splitter.reset();
     EndpointDirective directive;
     directive.instance = choice.name;
     directive.workspace = this->workspace;
@@ -149,15 +160,37 @@
     auto http = this->ingress->formats.encodeForEndpoint(this->request, directive);
     HttpClient::Options options;
     options.timeout = directive.timeLeft + Milliseconds(500);
+    options.window = answerWindow;
+    // Set by the head and read behind it, both by the client.
+    const auto limit = std::make_shared<std::size_t>(0);
     HttpClientHooks hooks;
-    hooks.onHead = [events = this->events, number, ingress = this->ingress](const HttpResponse& head) {
-        events.push({ number, HeadArrived { ingress->formats.decodeEndpointHead(head) } });
+    hooks.onHead = [events = this->events, number = this->attempts, ingress = this->ingress, limit,
+                       isStream = this->route.kind == CallKind::Stream](const HttpResponse& response) {
+        auto head = ingress->formats.decodeEndpointHead(response);
+        if (head.notRun)
+            *limit = refusalBytes;
+        else if (isStream && isSuccess(head))
+            // Its events are bounded one by one, as they are forwarded.
+            *limit = std::numeric_limits<std::size_t>::max();
+        else
+            *limit = static_cast<std::size_t>(ingress->init.answerBytes.value);
+        events.push({ number, HeadArrived { std::move(head) } });
     };
-    hooks.onBody = [events = this->events, number](
+    hooks.bodyLimit = [limit](const HttpResponse&) { return *limit; };
+    hooks.onBody = [events = this->events, number = this->attempts](
                        std::string_view bytes) { events.push({ number, BodyArrived { std::string(bytes) } }); };
-    hooks.onEnd
-        = [events = this->events, number](HttpResult result) { events.push({ number, AnswerEnded { result } }); };
+    hooks.onEnd = [events = this->events, number = this->attempts](
+                      HttpResult result) { events.push({ number, AnswerEnded { result } }); };
     this->call = this->ingress->endpointClient.stream(choice.address, std::move(http), options, std::move(hooks));
+}
+
+asio::awaitable<AttemptEnd> RequestRun::attempt(DispatchChoice choice)
+{
+    ++this->attempts;
+    this->offered = true;
+    this->splitter.reset();
+    this->endpoint = choice.name;
+    this->startCall(choice);
     const auto end = co_await this->relay(choice, this->deadline);
     // Closes the connection of an answer that nobody waits for; a complete one has ended already.
     if (end != AttemptEnd::NotRun)
@@ -191,6 +224,8 @@
             co_return AttemptEnd::NotRun;
         }
         ++this->runs;
+        if (ended->result.error == ErrorKind::AnswerTooLarge)
+            this->noteTooLarge("head", headBytes);
         co_return AttemptEnd::Broken;
     }
     const auto* arrived = std::get_if<HeadArrived>(&*first);
@@ -206,8 +241,7 @@
         co_return AttemptEnd::NotRun;
     }
     ++this->runs;
-    const bool success = head.status >= 200 && head.status < 300;
-    if (this->route.kind != CallKind::Stream || !success) {
+    if (this->route.kind != CallKind::Stream || !isSuccess(head)) {
         const auto end = co_await this->relayWhole(std::move(head), until);
         co_return end;
     }
@@ -219,7 +253,8 @@
 
 asio::awaitable<AttemptEnd> RequestRun::relayWhole(EndpointHead head, TimePoint until)
 {
-    std::string whole;
+    HeldAnswer whole(this->ingress->heldAnswerBytes);
+    const auto& init = this->ingress->init;
     while (true) {
         auto event = co_await this->nextEvent(until);
         if (!event)
@@ -227,14 +262,17 @@
         if (std::holds_alternative<CallerLeft>(*event))
             co_return AttemptEnd::CallerLeft;
         if (auto* part = std::get_if<BodyArrived>(&*event)) {
-            whole += part->bytes;
-            if (whole.size() > mostWholeBytes) {
-                this->outcome.detail = "answer too large";
+            const auto together = whole.append(part->bytes);
+            const bool isSmall = whole.size() <= smallAnswerBytes;
+            if (!isSmall && together > static_cast<std::size_t>(init.heldAnswerBytes.value)) {
+                this->noteTooLarge("all held answers", init.heldAnswerBytes);
                 co_return AttemptEnd::Broken;
             }
         } else if (const auto* ended = std::get_if<AnswerEnded>(&*event)) {
             if (ended->result.error != ErrorKind::None) {
                 this->outcome.detail = "answer incomplete";
+                if (ended->result.error == ErrorKind::AnswerTooLarge)
+                    this->noteTooLarge("body", init.answerBytes);
                 co_return AttemptEnd::Broken;
             }
             break;
@@ -250,7 +288,7 @@
     this->outcome.result = "answered";
     this->outcome.failed = head.status >= 400;
     this->outcome.firstByte = RuntimeClock::now() - this->startedAt;
-    this->exchange.respond({ head.status, std::move(head.headers), std::move(whole) });
+    this->exchange.respond({ head.status, std::move(head.headers), whole.take() });
     co_return AttemptEnd::Answered;
 }
 
@@ -262,8 +300,7 @@
         this->outcome.status = this->streamHead.status;
         this->exchange.startStream({ this->streamHead.status, this->streamHead.headers, {} });
     }
-    const auto* target = this->view->table->service(this->service);
-    this->handed += target && target->engine ? target->engine->tokensPerEvent : TokenCount { 1 };
+    this->handed += this->tokensPerEvent();
     if (!event.id.empty())
         this->lastEvent = event.id;
     if (this->route.keepsHistory) {
@@ -273,6 +310,25 @@
     return this->exchange.write(event.bytes);
 }
 
+std::string_view RequestRun::excessOfStream() const
+{
+    // Such a turn can never be kept, so its stream can never end whole.
+    const bool isKept = this->route.keepsHistory && !this->request.lastEvent;
+    if (isKept && static_cast<std::int64_t>(this->output.size()) > this->ingress->init.storeRecordBytes.value)
+        return "turn too large to store";
+    // A program may exceed its budget once by the most tokens of one turn.
+    const auto allowed = this->mostTokens() + this->request.mostTokens;
+    if (this->request.mostTokens.value > 0 && this->handed + this->tokensPerEvent() > allowed)
+        return "endpoint exceeds the tokens of the request";
+    return {};
+}
+
+void RequestRun::noteTooLarge(std::string_view part, ByteCount limit)
+{
+    this->outcome.detail = fmt::format("answer too large: {} of more than {} bytes", part, limit.value);
+    this->ingress->noteTooLarge("endpoint", this->endpoint, part, limit);
+}
+
 asio::awaitable<AttemptEnd> RequestRun::relayEvents(TimePoint until)
 {
     while (true) {
@@ -283,12 +339,22 @@
             co_return AttemptEnd::CallerLeft;
         if (const auto* part = std::get_if<BodyArrived>(&*event)) {
             for (const auto& streamEvent : this->splitter.add(part->bytes)) {
+                if (const auto excess = this->excessOfStream(); !excess.empty()) {
+                    this->abort(excess);
+                    co_return AttemptEnd::Broken;
+                }
                 if (!this->forwardEvent(streamEvent))
                     co_return AttemptEnd::CallerLeft;
             }
+            if (this->splitter.isTooLarge()) {
+                this->noteTooLarge("event", this->ingress->init.eventBytes);
+                co_return AttemptEnd::Broken;
+            }
         } else if (const auto* ended = std::get_if<AnswerEnded>(&*event)) {
             if (ended->result.error != ErrorKind::None || this->splitter.hasPartialEvent()) {
                 this->outcome.detail = "stream broke off";
+                if (ended->result.error == ErrorKind::AnswerTooLarge)
+                    this->noteTooLarge("framing", framingBytes);
                 co_return AttemptEnd::Broken;
             }
             co_await this->finishStream();
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -61,6 +61,36 @@
     int leftOut = 0;
 };
 
+/// Bytes of one answer that is held until it is complete, and their part of what all such answers take together.
+class HeldAnswer {
+public:
+    explicit HeldAnswer(std::atomic<std::size_t>& total)
+        : total(total)
+    {
+    }
+    HeldAnswer(const HeldAnswer&) = delete;
+    HeldAnswer& operator=(const HeldAnswer&) = delete;
+    ~HeldAnswer() { this->total -= this->bytes.size(); }
+
+    /// Returns how many bytes all answers take with this part.
+    std::size_t append(std::string_view part)
+    {
+        this->bytes += part;
+        return this->total += part.size();
+    }
+    std::size_t size() const { return this->bytes.size(); }
+    /// Returns the complete answer, which is not held any more.
+    std::string take()
+    {
+        this->total -= this->bytes.size();
+        return std::exchange(this->bytes, {});
+    }
+
+private:
+    std::atomic<std::size_t>& total;
+    std::string bytes;
+};
+
 /// Operations on one program's reservation run one after another.
 struct ReservationQueue {
     bool busy = false;
@@ -299,6 +329,8 @@
     asio::awaitable<AllowanceLease> grantLease(asio::any_io_executor executor, LeaseRequest request);
 
     // request.cpp
+    /// Counts and logs that a peer sent more than a bound allows.
+    void noteTooLarge(std::string_view peer, std::string_view name, std::string_view part, ByteCount limit);
     void serve(HttpRequest request, const HttpExchange& exchange);
 
     Runtime& runtime;
@@ -330,6 +362,8 @@
     /// Cut off from the store and from all other failure domains.
     std::atomic<bool> isolated = false;
     std::atomic<std::size_t> runningRequests = 0;
+    std::atomic<std::size_t> heldAnswerBytes = 0;
+    LogLimiter tooLargeLines {};
 
     AllowanceBook allowances;
     /// By service name.
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -1,6 +1,7 @@
 #include "request_p.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace peridotramp {
 
@@ -30,6 +31,7 @@
     , executor(executor)
     , events(executor)
     , startedAt(RuntimeClock::now())
+    , splitter({ static_cast<std::size_t>(this->ingress->init.eventBytes.value) })
 {
 }
 
@@ -38,6 +40,15 @@
     return std::chrono::duration_cast<Milliseconds>(std::max(Duration(0), this->deadline - now));
 }
 
+TokenCount RequestRun::tokensPerEvent() const
+{
+    const auto* target = this->view->table->service(this->service);
+    const TokenCount one { 1 };
+    return target && target->engine ? std::max(one, target->engine->tokensPerEvent) : one;
+}
+
+TokenCount RequestRun::mostTokens() const { return roundedUp(this->request.mostTokens, this->tokensPerEvent()); }
+
 void RequestRun::refuse(const Error& error)
 {
     if (this->ended)
@@ -117,10 +128,8 @@
         if (lacksHistory)
             begin.previousTurn = this->request.previousTurn;
         if (hasBudget) {
-            const auto* target = this->view->table->service(this->service);
-            const auto unit = target && target->engine ? target->engine->tokensPerEvent : TokenCount { 1 };
             begin.budget = this->request.budget;
-            begin.most = roundedUp(this->request.mostTokens, unit);
+            begin.most = this->mostTokens();
         }
         this->keeper = this->ingress->keeperOf(this->program);
         const auto begun = co_await this->ingress->beginTurnAt(this->executor, this->keeper, begin);
@@ -183,6 +192,14 @@
     --this->ingress->runningRequests;
 }
 
+void Ingress::Impl::noteTooLarge(std::string_view peer, std::string_view name, std::string_view part, ByteCount limit)
+{
+    this->metrics.count(fmt::format("answers_too_large{{peer=\"{}\"}}", peer));
+    if (const auto leftOut = this->tooLargeLines.take())
+        log(LogLevel::Warning, "answer too large",
+            { { "peer", name }, { "part", part }, { "limit_bytes", limit.value }, { "left_out", *leftOut } });
+}
+
 void Ingress::Impl::serve(HttpRequest request, const HttpExchange& exchange)
 {
     const auto executor = this->newStrand();
--- a/src/ingress/request_p.h
+++ b/src/ingress/request_p.h
@@ -60,7 +60,16 @@
     asio::awaitable<AttemptEnd> relayEvents(TimePoint deadline);
     asio::awaitable<AttemptEnd> relayWhole(EndpointHead head, TimePoint deadline);
     asio::awaitable<std::optional<RequestEvent>> nextEvent(TimePoint deadline);
+    // Makes the call to an endpoint; what it sends arrives as events of the current attempt.
+    void startCall(const DispatchChoice& choice);
     bool forwardEvent(const StreamEvent& event);
+    // Returns why no event may follow those that the caller has; empty when one may.
+    std::string_view excessOfStream() const;
+    // Notes that a part of the endpoint's answer exceeds its bound.
+    void noteTooLarge(std::string_view part, ByteCount limit);
+    TokenCount tokensPerEvent() const;
+    // Most tokens that the request may generate, in whole events.
+    TokenCount mostTokens() const;
     asio::awaitable<void> finishStream();
     bool mayRepeat() const;
 
@@ -98,10 +107,12 @@
     bool ended = false;
     EndpointHead streamHead {};
     bool streamStarted = false;
-    EventSplitter splitter {};
+    EventSplitter splitter;
     std::optional<std::string> lastEvent {};
     std::string output {};
     HttpClient::Call call {};
+    // Endpoint of the current attempt.
+    std::string endpoint {};
     RequestOutcome outcome {};
 };
 
--- a/src/ingress/settings.cpp
+++ b/src/ingress/settings.cpp
@@ -46,8 +46,16 @@
     init.store = store.address("address", std::nullopt);
     init.storePartitions = store.integer("partitions", 1, 1, 4096);
     init.storeRecordBytes = { store.integer("record_bytes", 262'144, 1024, std::int64_t { 64 } * 1024 * 1024) };
+    init.storeCallBytes = { store.integer("call_bytes", 2'097'152, 1024, std::int64_t { 64 } * 1024 * 1024) };
     store.rejectUnknownKeys();
 
+    SectionReader endpoints(sectionOf(sections, "endpoints"), problems);
+    constexpr std::int64_t mostBytes = std::int64_t { 1024 } * 1024 * 1024;
+    init.answerBytes = { endpoints.integer("answer_bytes", init.answerBytes.value, 1024, mostBytes) };
+    init.heldAnswerBytes = { endpoints.integer("held_answer_bytes", init.heldAnswerBytes.value, 1024, mostBytes) };
+    init.eventBytes = { endpoints.integer("event_bytes", init.eventBytes.value, 1024, mostBytes) };
+    endpoints.rejectUnknownKeys();
+
     SectionReader bounds(sectionOf(sections, "bounds"), problems);
     init.grace = Milliseconds(static_cast<std::int64_t>(bounds.number("grace_s", 8, 1, 3600) * 1000));
     init.allowanceWindow
--- /dev/null
+++ b/tests/ingress/endless.cpp
@@ -0,0 +1,217 @@
+#include "../floodserver.h"
+#include "fixture.h"
+
+using namespace peridotramp;
+
+namespace {
+
+// What a socket may take beyond what its peer has read: the buffers of both ends.
+constexpr std::size_t socketBytes = std::size_t { 16 } * 1024 * 1024;
+const std::string block(std::size_t { 16 } * 1024, 'x');
+
+// Endpoint that begins an answer to the request that it got and then sends bytes without end.
+FloodServer::Init floodAfter(const std::string& status, const std::string& headers, const std::string& repeated)
+{
+    FloodServer::Init init;
+    init.opening = [status, headers](const std::string& head) {
+        return fmt::format("HTTP/1.1 {}\r\nRequest-Id: {}\r\nServer-Seal: s\r\n{}", status,
+            FloodServer::headerOf(head, "Request-Id"), headers);
+    };
+    init.repeated = repeated;
+    return init;
+}
+
+const std::string streamHeaders = "Content-Type: text/event-stream\r\n\r\n";
+
+void addFlood(Deployment& deployment, const std::string& name, const std::string& service, const FloodServer& server)
+{
+    deployment.fake.put(StoreTopic::Endpoints, {}, name, endpointRecord(service, server.address()));
+}
+
+void answerOk(const HttpRequest& request, const HttpExchange& exchange)
+{
+    exchange.respond({ 200, sealed(request), "done" });
+}
+
+std::string adminPage(Deployment& deployment, const Ingress& ingress, const std::string& page)
+{
+    std::promise<std::string> text;
+    deployment.client.send(ingress.adminAddress(), { "GET", page, {}, {} }, { Milliseconds(5000), false },
+        [&](const HttpResult&, HttpResponse response) { text.set_value(std::move(response.body)); });
+    return text.get_future().get();
+}
+
+bool hasCounter(Deployment& deployment, const Ingress& ingress, const std::string& line)
+{
+    return adminPage(deployment, ingress, "/metrics").find(line) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against an instance that is killed for its memory, and a caller left without an answer, because an endpoint
+// sends a body, a head or a frame of a body without end.
+TEST_CASE("an idempotent call whose answer has no end is served by another endpoint")
+{
+    const std::vector<FloodServer::Init> floods { floodAfter("200 OK", "\r\n", block),
+        floodAfter("200 OK", "Name: ", block), floodAfter("200 OK", "Transfer-Encoding: chunked\r\n\r\n4;name=", block),
+        floodAfter("200 OK", "Transfer-Encoding: chunked\r\n\r\n0\r\nName: ", block),
+        floodAfter("500 Error", "Content-Length: 99999999999\r\n\r\n", block), floodAfter("103 Hints", "\r\n", block) };
+    for (const auto& init : floods) {
+        FloodServer server(init);
+        Deployment deployment;
+        addFlood(deployment, "i-1", "desk", server);
+        auto& good = deployment.addEndpoint("i-2", "desk", answerOk);
+        deployment.publish(1);
+        const auto ingress = deployment.startReady("n1");
+        const auto [result, response] = deployment.send(*ingress, Deployment::request("GET", "/r/x", "q1"));
+        REQUIRE(response.status == 200);
+        REQUIRE(response.body == "done");
+        REQUIRE(good.requests().size() == 1);
+        REQUIRE(server.connections() == 1);
+        REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+        REQUIRE(server.sentBytes() < 2 * socketBytes);
+        // The endpoint counts as failed and gets nothing for a while.
+        REQUIRE(deployment.send(*ingress, Deployment::request("GET", "/r/x", "q2")).second.status == 200);
+        REQUIRE(server.connections() == 1);
+    }
+}
+
+// Guards against a call with an effect that is said not to have run, or that runs twice, because its answer has no end.
+TEST_CASE("a call that may not be repeated ends as failed when its answer has no end")
+{
+    FloodServer server(floodAfter("200 OK", "\r\n", block));
+    Deployment deployment;
+    addFlood(deployment, "i-1", "desk", server);
+    auto& other = deployment.addEndpoint("i-2", "desk", answerOk);
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    const auto [result, response] = deployment.send(*ingress, Deployment::request("POST", "/w/x", "q1"));
+    REQUIRE(response.status == 502);
+    REQUIRE(other.requests().empty());
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+    REQUIRE(server.sentBytes() < 2 * socketBytes);
+    REQUIRE(hasCounter(deployment, *ingress, "peridotramp_answers_too_large{peer=\"endpoint\"} 1\n"));
+}
+
+// Guards against an event without end that is held in memory and searched from its start with each block.
+TEST_CASE("a resumable stream goes on elsewhere when an event has no end")
+{
+    FloodServer server(floodAfter("200 OK", streamHeaders + eventText(1) + eventText(2) + "id: 3\ndata: ", block));
+    Deployment deployment;
+    addFlood(deployment, "i-1", "engines", server);
+    deployment.addEndpoint("i-2", "engines", [](const HttpRequest& request, const HttpExchange& exchange) {
+        const auto last = request.header("Last-Event-Id");
+        streamEvents(request, exchange, last ? std::stoi(std::string(*last)) + 1 : 1, 4);
+    });
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    const auto [result, response] = deployment.send(*ingress, Deployment::request("POST", "/p/x", "q1"));
+    REQUIRE(result.error == ErrorKind::None);
+    REQUIRE(response.body == eventText(1) + eventText(2) + eventText(3) + eventText(4));
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+    REQUIRE(server.sentBytes() < socketBytes);
+    REQUIRE(hasCounter(deployment, *ingress, "peridotramp_answers_too_large{peer=\"endpoint\"} 1\n"));
+}
+
+TEST_CASE("a stream that may not be resumed is cut when an event has no end")
+{
+    FloodServer server(floodAfter("200 OK", streamHeaders + eventText(1) + "id: 2\ndata: ", block));
+    Deployment deployment;
+    addFlood(deployment, "i-1", "engines", server);
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    const auto [result, response] = deployment.send(*ingress, Deployment::request("POST", "/t/x", "q1"));
+    REQUIRE(response.status == 200);
+    REQUIRE(result.error != ErrorKind::None);
+    REQUIRE(response.body == eventText(1));
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+    REQUIRE(server.sentBytes() < socketBytes);
+}
+
+// Guards against the body of a refusal, which nobody waits for, that is read until the time limit of the request.
+TEST_CASE("a refusal whose body has no end is not read on")
+{
+    FloodServer server(floodAfter("503 Full", "Not-Run: 1\r\n\r\n", block));
+    Deployment deployment;
+    addFlood(deployment, "i-1", "desk", server);
+    deployment.addEndpoint("i-2", "desk", answerOk);
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    for (int index = 0; index < 4; ++index) {
+        const auto id = "q" + std::to_string(index);
+        REQUIRE(deployment.send(*ingress, Deployment::request("POST", "/w/x", id)).second.status == 200);
+    }
+    REQUIRE(server.connections() > 0);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == server.connections(); }));
+    REQUIRE(server.sentBytes() < server.connections() * socketBytes);
+}
+
+// Guards against a budget that is overrun, and memory that grows, because an endpoint goes on with events after the
+// most tokens that the turn may generate.
+TEST_CASE("a turn whose events have no end is cut")
+{
+    auto init = floodAfter("200 OK", streamHeaders, "id: 1\ndata: d\n\n");
+    // The caller has each event before its connection is cut.
+    init.pause = Milliseconds(20);
+    FloodServer server(init);
+    Deployment deployment;
+    addFlood(deployment, "i-1", "engines", server);
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    auto request = Deployment::request("POST", "/t/x", "q1");
+    request.headers.push_back({ "Program-Id", "p1" });
+    request.headers.push_back({ "Token-Count", "100,30" });
+    request.headers.push_back({ "Token-Budget", "500" });
+    const auto [result, response] = deployment.send(*ingress, request);
+    REQUIRE(result.error != ErrorKind::None);
+    // 10 tokens an event; beyond its budget a program may get at most the most tokens of one turn.
+    const auto events = std::ranges::count(response.body, 'i');
+    REQUIRE(events >= 3);
+    REQUIRE(events <= 6);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+    REQUIRE(server.sentBytes() < socketBytes);
+}
+
+// Guards against a turn that grows beyond what the store takes as one record and can never be answered whole.
+TEST_CASE("a kept turn is cut when it is larger than the store can keep")
+{
+    FloodServer server(floodAfter("200 OK", streamHeaders, "id: 1\ndata: " + std::string(10'000, 'd') + "\n\n"));
+    Deployment deployment;
+    addFlood(deployment, "i-1", "engines", server);
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    const auto [result, response] = deployment.send(*ingress, Deployment::request("POST", "/t/x", "q1"));
+    REQUIRE(result.error != ErrorKind::None);
+    REQUIRE(response.body.size() <= 300'000);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+    REQUIRE(server.sentBytes() < socketBytes);
+}
+
+// Guards against many answers that are held in memory at once, each within its own bound.
+TEST_CASE("the answers that are held at once are bounded together, and small ones go on")
+{
+    constexpr int callers = 12;
+    constexpr std::size_t heldBytes = std::size_t { 4 } * 1024 * 1024;
+    auto init = floodAfter("200 OK", "\r\n", block);
+    // Each would take its own bound of 16 MB in a few seconds, all together 192 MB.
+    init.pause = Milliseconds(1);
+    FloodServer server(init);
+    Deployment deployment;
+    deployment.adjust = [](IngressInit& settings) { settings.heldAnswerBytes = { heldBytes }; };
+    addFlood(deployment, "i-1", "desk", server);
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    std::vector<std::future<unsigned>> running;
+    for (int index = 0; index < callers; ++index)
+        running.push_back(std::async(std::launch::async, [&deployment, &ingress, index] {
+            auto request = Deployment::request("POST", "/w/x", "q" + std::to_string(index));
+            return deployment.send(*ingress, std::move(request)).second.status;
+        }));
+    for (auto& status : running)
+        CHECK(status.get() == 502);
+    deployment.addEndpoint("i-0", "desk", answerOk);
+    REQUIRE(holdsSoon(
+        [&] { return deployment.send(*ingress, Deployment::request("GET", "/r/x", "q")).second.status == 200; }));
+    REQUIRE(server.closedByCaller() == callers);
+    REQUIRE(server.sentBytes() < heldBytes * 3 + callers * std::size_t { 1024 } * 1024);
+}
--- a/tests/ingress/fixture.h
+++ b/tests/ingress/fixture.h
@@ -12,6 +12,14 @@
 
 namespace peridotramp {
 
+/// Returns an endpoint's record in the metadata store.
+inline std::string endpointRecord(const std::string& service, const Address& address)
+{
+    return fmt::format(R"({{"service":"{}","address":"{}","zone":"a","slots":8,"state":"ready","coldLeftMs":0,)"
+                       R"("sequence":1,"born":1}})",
+        service, address.toString());
+}
+
 /// Endpoint whose answers a test sets. It remembers the requests that reached it.
 class FakeEndpoint {
 public:
@@ -36,12 +44,7 @@
         return this->seen;
     }
 
-    std::string record(const std::string& service) const
-    {
-        return fmt::format(R"({{"service":"{}","address":"{}","zone":"a","slots":8,"state":"ready","coldLeftMs":0,)"
-                           R"("sequence":1,"born":1}})",
-            service, this->server.address().toString());
-    }
+    std::string record(const std::string& service) const { return endpointRecord(service, this->server.address()); }
 
     std::string name;
 
@@ -128,6 +131,8 @@
         init.regions = { { "a", "north" }, { "b", "north" }, { "c", "north" } };
         init.firstStart = firstStart;
         init.storePartitions = 2;
+        if (this->adjust)
+            this->adjust(init);
         auto ingress = std::make_shared<Ingress>(
             this->runtime, init, platform::formats(), [this](const StoreTransport& transport) {
                 this->transport = transport;
@@ -175,6 +180,8 @@
     HttpClient client { this->runtime };
     /// Calls the store of the instance that was started last, at an address where nobody answers.
     StoreTransport transport;
+    /// Changes the settings of the instances that are started from then on.
+    std::function<void(IngressInit&)> adjust;
     std::vector<std::unique_ptr<FakeEndpoint>> endpoints;
     std::vector<std::shared_ptr<Ingress>> instances;
 };
