Bound the answers of the metadata store, and take one that ended early for no answer

What callers saw: an instance whose store sends answers without end could be killed for its memory; one that survived went on to call the store itself, which counted as reachable, and asked no other instance.

Cause: answers of the store had no bound, and whether the store had answered was judged by the status alone. A head of 200 with half a body counted as an answer here, and was passed on as a whole one to an instance that had asked for it.

Evidence, before the change: "an answer of the store that has no end is cut, and another instance is asked" never got the answer from the other instance (`ask() == "stored"` false). "an answer of the store that ends early is no answer, for a peer either" was not run against the former code in its present form.

Change: an answer with records may have 4/3 of call_bytes, since a page has them in base64, and 512 KiB for keys and text; together it fits one frame between instances. The answer to an append may have 64 KiB. An answer with an error has no status, closes the idle connections and counts as a failed call, so that the call goes through another instance.

--- a/src/ingress/storeaccess.cpp
+++ b/src/ingress/storeaccess.cpp
@@ -7,6 +7,14 @@
 // Time added for the hop between instances.
 constexpr Milliseconds relayMargin { 200 };
 
+// The answer to a call that brings records says only where they are.
+constexpr ByteCount appendAnswerBytes { std::int64_t { 64 } * 1024 };
+// What a page of records takes beside these: their keys, and the text around them.
+constexpr std::int64_t pageTextBytes = std::int64_t { 512 } * 1024;
+
+// Returns the most bytes of an answer that brings records; a page has them in base64.
+ByteCount storeAnswerBytes(const IngressInit& init) { return { init.storeCallBytes.value * 4 / 3 + pageTextBytes }; }
+
 bool isAnswered(const HttpResponse& response)
 {
     return response.status != 0 && response.status != 503 && response.status != 429;
@@ -20,14 +28,25 @@
     this->metrics.count("store_calls");
     HttpClient::Options options;
     options.timeout = timeout;
-    this->storeClient.send(this->init.store, std::move(request), options,
-        [this, hook = std::move(hook)](const HttpResult& result, const HttpResponse& response) {
-            // A connection that got no answer may be silent for good, and others with it.
-            if (response.status == 0)
-                this->storeClient.closeIdle(this->init.store);
-            this->storeHealth.noteAnswer(isAnswered(response));
-            hook(result, response);
-        });
+    const auto limit = request.body.empty() ? storeAnswerBytes(this->init) : appendAnswerBytes;
+    const auto response = std::make_shared<HttpResponse>(HttpResponse { 0 });
+    HttpClientHooks hooks;
+    hooks.onHead = [response](const HttpResponse& head) { *response = head; };
+    hooks.bodyLimit = [limit](const HttpResponse&) { return static_cast<std::size_t>(limit.value); };
+    hooks.onBody = [response](std::string_view part) { response->body.append(part); };
+    hooks.onEnd = [this, limit, response, hook = std::move(hook)](const HttpResult& result) {
+        // An answer that ended early is no answer, whatever its status.
+        if (result.error != ErrorKind::None)
+            *response = HttpResponse { 0 };
+        if (result.error == ErrorKind::AnswerTooLarge)
+            this->noteTooLarge("store", this->init.store.toString(), "answer", limit);
+        // A connection that got no answer may be silent for good, and others with it.
+        if (response->status == 0)
+            this->storeClient.closeIdle(this->init.store);
+        this->storeHealth.noteAnswer(isAnswered(*response));
+        hook(result, std::move(*response));
+    };
+    this->storeClient.stream(this->init.store, std::move(request), options, std::move(hooks));
 }
 
 void Ingress::Impl::callStore(
--- a/tests/ingress/endless.cpp
+++ b/tests/ingress/endless.cpp
@@ -215,3 +215,48 @@
     REQUIRE(server.closedByCaller() == callers);
     REQUIRE(server.sentBytes() < heldBytes * 3 + callers * std::size_t { 1024 } * 1024);
 }
+
+// Guards against a store that counts as reachable, and a process that is killed for its memory, because an answer of
+// the store has no end.
+TEST_CASE("an answer of the store that has no end is cut, and another instance is asked")
+{
+    FloodServer server(floodAfter("200 OK", "\r\n", block));
+    HttpRequest call { "GET", "/v1/log-read", {}, {} };
+    Deployment deployment;
+    HttpServer good(deployment.runtime, {},
+        [](const HttpRequest&, const HttpExchange& exchange) { exchange.respond({ 200, {}, "stored" }); });
+    deployment.publish(1);
+    deployment.adjust = [&](IngressInit& init) { init.store = good.address(); };
+    const auto helper = deployment.startReady("n1");
+    deployment.adjust = [&](IngressInit& init) { init.store = server.address(); };
+    const auto ingress = deployment.startReady("n2");
+    const auto ask = [&] {
+        auto done = std::make_shared<std::promise<std::string>>();
+        deployment.transport(call, Milliseconds(5000), [done](const HttpResult& result, const HttpResponse& response) {
+            done->set_value(result.error == ErrorKind::None ? response.body : std::string());
+        });
+        return done->get_future().get();
+    };
+    REQUIRE(holdsSoon([&] { return ask() == "stored"; }));
+    REQUIRE(adminPage(deployment, *ingress, "/dump").find("\"store_reachable\":false") != std::string::npos);
+    REQUIRE(hasCounter(deployment, *ingress, "peridotramp_answers_too_large{peer=\"store\"}"));
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == server.connections(); }));
+    REQUIRE(server.sentBytes() < server.connections() * socketBytes);
+}
+
+// Guards against an answer of the store that ended early and is taken for a whole one by the instance that asked
+// another for it.
+TEST_CASE("an answer of the store that ends early is no answer, for a peer either")
+{
+    FloodServer server(floodAfter("200 OK", "Content-Length: 1000\r\n\r\nbegin", ""));
+    Deployment deployment;
+    deployment.publish(1);
+    deployment.adjust = [&](IngressInit& init) { init.store = server.address(); };
+    const auto ingress = deployment.startReady("n1");
+    const StoreCallRequest call { "GET", "/v1/log-read", {}, {}, Milliseconds(300) };
+    const auto reply = askInstance<StoreCallReply>(deployment, *ingress, call);
+    REQUIRE(server.connections() == 1);
+    REQUIRE(reply.status == 0);
+    REQUIRE(reply.body.empty());
+    REQUIRE(adminPage(deployment, *ingress, "/dump").find("\"store_reachable\":false") != std::string::npos);
+}
