Close a connection between instances whose frame does not go on

What callers saw: when a peer stopped within a frame, each later call on that connection timed out, as the connection was kept for good; a server kept such a connection with the memory of the whole frame, whose length the peer had only stated.

Cause: the length was allocated at once, and nothing bounded the time within a frame.

Change: frames are taken from what has been read, so that they take memory as their bytes arrive; a pause of 10 s within a frame closes the connection. Between frames a connection may be silent. Lines about closed connections name the peer, the reason and the bound, and are bounded.

--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -515,6 +515,8 @@
         std::size_t maxFrameBytes = std::size_t { 4 } * 1024 * 1024;
         /// Unsent bytes of one connection beyond which it is closed.
         std::size_t maxPendingBytes = std::size_t { 64 } * 1024 * 1024;
+        /// Longest pause between the bytes of one frame.
+        Milliseconds frameTimeout { 10'000 };
     };
     using Handler = std::function<void(Message, RpcReply)>;
 
@@ -541,6 +543,8 @@
         Milliseconds connectTimeout { 1000 };
         std::size_t maxFrameBytes = std::size_t { 4 } * 1024 * 1024;
         CutHook isCut {};
+        /// Longest pause between the bytes of one frame.
+        Milliseconds frameTimeout { 10'000 };
     };
     /// Called for each message of the answer, or once with an error. `last` is true in the last call.
     ///
--- a/src/nodes/connection.cpp
+++ b/src/nodes/connection.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr std::size_t lengthBytes = 4;
+// Small, because each connection has such a block.
+constexpr std::size_t readBlockBytes = std::size_t { 8 } * 1024;
 
 std::string withLength(const std::string& frame)
 {
@@ -15,11 +17,11 @@
     return bytes + frame;
 }
 
-std::size_t lengthOf(const std::array<unsigned char, lengthBytes>& bytes)
+std::size_t lengthOf(std::string_view bytes)
 {
     std::size_t length = 0;
     for (std::size_t index = 0; index < lengthBytes; ++index)
-        length |= static_cast<std::size_t>(bytes[index]) << (8 * index);
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[index])) << (8 * index);
     return length;
 }
 
@@ -27,6 +29,7 @@
 
 FrameConnection::FrameConnection(asio::ip::tcp::socket socket, Limits limits)
     : socket(std::move(socket))
+    , frameTimer(this->socket.get_executor())
     , limits(limits)
 {
 }
@@ -65,6 +68,7 @@
 {
     boost::system::error_code ignored;
     static_cast<void>(this->socket.close(ignored));
+    this->frameTimer.cancel();
     if (this->closed.exchange(true))
         return;
     const auto finished = std::exchange(this->hooks, {});
@@ -72,29 +76,76 @@
         finished.onClosed();
 }
 
-asio::awaitable<void> FrameConnection::readFrames([[maybe_unused]] std::shared_ptr<FrameConnection> self)
+void FrameConnection::logClosed(std::string_view reason, std::uint64_t bytes)
 {
-    std::string frame;
-    while (!this->closed) {
-        std::array<unsigned char, lengthBytes> header {};
-        auto [headerError, headerBytes] = co_await asio::async_read(this->socket, asio::buffer(header), asTuple);
-        const auto length = lengthOf(header);
-        if (headerError || length > this->limits.maxFrameBytes)
-            break;
-        frame.resize(length);
-        auto [bodyError, bodyBytes] = co_await asio::async_read(this->socket, asio::buffer(frame), asTuple);
-        if (bodyError)
+    static LogLimiter lines;
+    const auto leftOut = lines.take();
+    if (!leftOut)
+        return;
+    boost::system::error_code error;
+    const auto peer = this->socket.remote_endpoint(error);
+    log(LogLevel::Warning, "connection of a peer closed",
+        { { "peer", error ? "unknown" : Address { peer.address().to_string(), peer.port() }.toString() },
+            { "reason", reason }, { "bytes", bytes }, { "limit_bytes", std::uint64_t { this->limits.maxFrameBytes } },
+            { "left_out", *leftOut } });
+}
+
+bool FrameConnection::takeFrames(std::string& input)
+{
+    std::string_view rest = input;
+    while (rest.size() >= lengthBytes && !this->closed) {
+        const auto length = lengthOf(rest);
+        if (length > this->limits.maxFrameBytes) {
+            this->logClosed("frame too large", length);
+            return false;
+        }
+        if (rest.size() < lengthBytes + length)
             break;
-        auto decoded = decodeFrame(frame);
+        auto decoded = decodeFrame(rest.substr(lengthBytes, length));
         if (!decoded) {
-            log(LogLevel::Warning, decoded.error().message());
-            break;
+            this->logClosed(decoded.error().message(), length);
+            return false;
         }
+        rest.remove_prefix(lengthBytes + length);
         // The hook may close the connection, which clears the hooks.
         const auto onFrame = this->hooks.onFrame;
         if (onFrame)
             onFrame(std::move(decoded.value()));
     }
+    input.erase(0, input.size() - rest.size());
+    return true;
+}
+
+void FrameConnection::awaitFrame()
+{
+    this->frameTimer.expires_after(this->limits.frameTimeout);
+    this->frameTimer.async_wait([weak = this->weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        // A timer that expires while the next bytes are handled has been set anew or cancelled since.
+        if (error || !self || self->frameTimer.expiry() > RuntimeClock::now())
+            return;
+        self->logClosed("frame not complete in time", 0);
+        self->closeNow();
+    });
+}
+
+asio::awaitable<void> FrameConnection::readFrames([[maybe_unused]] std::shared_ptr<FrameConnection> self)
+{
+    // A frame takes memory as its bytes arrive, not as its length says.
+    std::string input;
+    std::array<char, readBlockBytes> block {};
+    while (!this->closed) {
+        // Between frames a connection may be silent.
+        if (!input.empty())
+            this->awaitFrame();
+        auto [error, size] = co_await this->socket.async_read_some(asio::buffer(block), asTuple);
+        this->frameTimer.expires_at(TimePoint::max());
+        if (error)
+            break;
+        input.append(block.data(), size);
+        if (!this->takeFrames(input))
+            break;
+    }
     this->closeNow();
 }
 
--- a/src/nodes/connection_p.h
+++ b/src/nodes/connection_p.h
@@ -15,6 +15,8 @@
     struct Limits {
         std::size_t maxFrameBytes = std::size_t { 4 } * 1024 * 1024;
         std::size_t maxPendingBytes = std::size_t { 64 } * 1024 * 1024;
+        /// Longest pause between the bytes of one frame.
+        Milliseconds frameTimeout { 10'000 };
     };
     struct Hooks {
         std::function<void(Frame)> onFrame;
@@ -33,10 +35,16 @@
 
 private:
     asio::awaitable<void> readFrames(std::shared_ptr<FrameConnection> self);
+    // Passes on the whole frames of `input` and removes them; returns false when the connection has to end.
+    bool takeFrames(std::string& input);
+    // Closes the connection unless the frame that has begun goes on in time.
+    void awaitFrame();
+    void logClosed(std::string_view reason, std::uint64_t bytes);
     asio::awaitable<void> writeFrames(std::shared_ptr<FrameConnection> self);
     void closeNow();
 
     asio::ip::tcp::socket socket;
+    RuntimeTimer frameTimer;
     Limits limits;
     Hooks hooks {};
     std::deque<std::string> outgoing {};
--- a/src/nodes/rpcclient.cpp
+++ b/src/nodes/rpcclient.cpp
@@ -158,7 +158,9 @@
     }
     stream.expires_never();
     configureSocket(stream.socket());
-    const FrameConnection::Limits limits { this->init.maxFrameBytes, std::size_t { 64 } * 1024 * 1024 };
+    FrameConnection::Limits limits;
+    limits.maxFrameBytes = this->init.maxFrameBytes;
+    limits.frameTimeout = this->init.frameTimeout;
     this->connection = std::make_shared<FrameConnection>(stream.release_socket(), limits);
     this->connection->start(this->hooks());
     this->sendQueued();
--- a/src/nodes/rpcserver.cpp
+++ b/src/nodes/rpcserver.cpp
@@ -106,8 +106,9 @@
 
 void startConnection(const std::shared_ptr<RpcServer::Impl>& server, asio::ip::tcp::socket socket)
 {
-    auto connection = std::make_shared<FrameConnection>(
-        std::move(socket), FrameConnection::Limits { server->init.maxFrameBytes, server->init.maxPendingBytes });
+    const FrameConnection::Limits limits { server->init.maxFrameBytes, server->init.maxPendingBytes,
+        server->init.frameTimeout };
+    auto connection = std::make_shared<FrameConnection>(std::move(socket), limits);
     auto open = std::make_shared<OpenRequests>();
     const std::weak_ptr<FrameConnection> weak = connection;
     FrameConnection::Hooks hooks;
