--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -70,7 +70,7 @@
     asio::awaitable<ReadEnd> receive(Duration limit);
     ReadEnd readAvailable();
     asio::awaitable<bool> awaitRequest();
-    asio::awaitable<boost::system::error_code> readMessage(Milliseconds timeout);
+    asio::awaitable<boost::system::error_code> readMessage(HttpLimits limits);
     asio::awaitable<bool> readRequest();
     asio::awaitable<void> dropInput();
     asio::awaitable<void> refuse(http::status status);
@@ -327,7 +327,7 @@
 {
     if (error == http::error::body_limit)
         return http::status::payload_too_large;
-    if (error == http::error::header_limit)
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return http::status::request_header_fields_too_large;
     if (error == asio::error::timed_out)
         return http::status::request_timeout;
@@ -421,7 +421,7 @@
 }
 
 // Reads the message that the first bytes belong to.
-asio::awaitable<boost::system::error_code> Session::readMessage(Milliseconds timeout)
+asio::awaitable<boost::system::error_code> Session::readMessage(HttpLimits limits)
 {
     while (true) {
         boost::system::error_code error;
@@ -430,11 +430,14 @@
             co_return error;
         if (this->parser->is_done())
             co_return boost::system::error_code();
+        // What the parser cannot use yet is a part of the head, of a chunk's extension or of the trailers.
+        if (this->buffer.size() > limits.maxHeaderBytes)
+            co_return http::make_error_code(http::error::buffer_overflow);
         // The head is bounded as a whole. A body may take longer, as long as it goes on arriving.
         const auto now = RuntimeClock::now();
         const auto left = this->parser->is_header_done()
-            ? std::min<Duration>(timeout, this->requestBegan + longestBodyTime - now)
-            : this->requestBegan + timeout - now;
+            ? std::min<Duration>(limits.readTimeout, this->requestBegan + longestBodyTime - now)
+            : this->requestBegan + limits.readTimeout - now;
         const auto received = co_await this->receive(std::max(left, Duration(0)));
         if (received == ReadEnd::Nothing)
             co_return asio::error::make_error_code(asio::error::timed_out);
@@ -459,7 +462,7 @@
     this->parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     this->parser->body_limit(limits.maxBodyBytes);
     this->parser->eager(true);
-    const auto error = co_await this->readMessage(limits.readTimeout);
+    const auto error = co_await this->readMessage(limits);
     if (!error)
         co_return true;
     const auto status = refusalOf(error);
--- a/tests/ingress/fixture.h
+++ b/tests/ingress/fixture.h
@@ -12,6 +12,14 @@
 
 namespace peridotramp {
 
+/// Returns an endpoint's record in the metadata store.
+inline std::string endpointRecord(const std::string& service, const Address& address)
+{
+    return fmt::format(R"({{"service":"{}","address":"{}","zone":"a","slots":8,"state":"ready","coldLeftMs":0,)"
+                       R"("sequence":1,"born":1}})",
+        service, address.toString());
+}
+
 /// Endpoint whose answers a test sets. It remembers the requests that reached it.
 class FakeEndpoint {
 public:
@@ -36,12 +44,7 @@
         return this->seen;
     }
 
-    std::string record(const std::string& service) const
-    {
-        return fmt::format(R"({{"service":"{}","address":"{}","zone":"a","slots":8,"state":"ready","coldLeftMs":0,)"
-                           R"("sequence":1,"born":1}})",
-            service, this->server.address().toString());
-    }
+    std::string record(const std::string& service) const { return endpointRecord(service, this->server.address()); }
 
     std::string name;
 
--- /dev/null
+++ b/tests/runtime/endless.cpp
@@ -0,0 +1,231 @@
+#include "../floodserver.h"
+#include "../soon.h"
+#include "peridotramp/runtime.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace peridotramp;
+
+namespace {
+
+constexpr std::size_t bodyLimit = std::size_t { 256 } * 1024;
+// What a socket may take beyond what its peer has read: the buffers of both ends.
+constexpr std::size_t socketBytes = std::size_t { 16 } * 1024 * 1024;
+
+struct Answer {
+    HttpResult result;
+    HttpResponse response;
+};
+
+struct Caller {
+    Runtime runtime;
+    HttpClient client { this->runtime, { .maxBodyBytes = bodyLimit } };
+
+    Caller() { this->runtime.start(); }
+
+    Answer fetch(const Address& address, HttpRequest request = {})
+    {
+        std::promise<Answer> promise;
+        this->client.send(address, std::move(request), { Milliseconds(5000) },
+            [&](HttpResult result, HttpResponse response) { promise.set_value({ result, std::move(response) }); });
+        return promise.get_future().get();
+    }
+};
+
+FloodServer::Init flood(const std::string& opening, const std::string& repeated)
+{
+    FloodServer::Init init;
+    init.opening = [opening](const std::string&) { return opening; };
+    init.repeated = repeated;
+    return init;
+}
+
+const std::string block(std::size_t { 16 } * 1024, 'x');
+const std::string chunk = "4000\r\n" + block + "\r\n";
+
+// Checks that an answer is given up as too large, that its connection is closed, and that little of it was read.
+void requireCut(const FloodServer::Init& init)
+{
+    Caller caller;
+    FloodServer server(init);
+    const auto answer = caller.fetch(server.address());
+    REQUIRE(answer.result.error == ErrorKind::AnswerTooLarge);
+    REQUIRE(answer.result.requestWritten);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+    REQUIRE(server.sentBytes() < bodyLimit + socketBytes);
+    REQUIRE(answer.response.body.size() <= bodyLimit);
+}
+
+} // namespace
+
+// Guards against a process that is killed for its memory because a peer in trouble sends a body without end.
+TEST_CASE("a body without end is cut at the bound, however it is framed")
+{
+    requireCut(flood("HTTP/1.1 200 OK\r\n\r\n", block));
+    requireCut(flood("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", block));
+    requireCut(flood("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk));
+    requireCut(flood("HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n", block));
+}
+
+TEST_CASE("the bound of a body may depend on the head of the response")
+{
+    Caller caller;
+    FloodServer server(flood("HTTP/1.1 503 Full\r\n\r\n", block));
+    std::promise<HttpResult> ended;
+    std::size_t received = 0;
+    HttpClientHooks hooks;
+    hooks.bodyLimit = [](const HttpResponse& head) { return head.status == 503 ? std::size_t { 1000 } : bodyLimit; };
+    hooks.onBody = [&](std::string_view part) { received += part.size(); };
+    hooks.onEnd = [&](HttpResult result) { ended.set_value(result); };
+    caller.client.stream(server.address(), {}, {}, std::move(hooks));
+    REQUIRE(ended.get_future().get().error == ErrorKind::AnswerTooLarge);
+    REQUIRE(received <= 1000);
+}
+
+TEST_CASE("a body as large as the bound is whole")
+{
+    Caller caller;
+    HttpServer server(caller.runtime, {}, [](const HttpRequest&, const HttpExchange& exchange) {
+        exchange.respond({ 200, {}, std::string(bodyLimit, 'x') });
+    });
+    const auto answer = caller.fetch(server.address());
+    REQUIRE(answer.result.error == ErrorKind::None);
+    REQUIRE(answer.response.body.size() == bodyLimit);
+}
+
+// Guards against an unbounded read buffer: the parser holds a chunk's extensions and the trailers until they end.
+TEST_CASE("chunk extensions and trailers without end are cut at the bound")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    requireCut(flood(head + "4;name=", block));
+    requireCut(flood(head + "1\r\nx\r\n0\r\n", "Name: value\r\n"));
+    requireCut(flood(head + "0\r\nName: ", block));
+}
+
+TEST_CASE("a head without end is cut at the bound")
+{
+    requireCut(flood("HTTP/1.1 200 ", block));
+    requireCut(flood("HTTP/1.1 200 OK\r\nName: ", block));
+    requireCut(flood("HTTP/1.1 200 OK\r\n", "Name: value\r\n"));
+}
+
+TEST_CASE("bytes that are no answer end the call and the connection")
+{
+    Caller caller;
+    FloodServer server(flood("", block));
+    const auto answer = caller.fetch(server.address());
+    REQUIRE(answer.result.error == ErrorKind::EndpointFailed);
+    REQUIRE(answer.response.status == 0);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+    REQUIRE(server.sentBytes() < socketBytes);
+}
+
+// Guards against an interim response that is taken for the answer.
+TEST_CASE("interim responses go before the answer, within the bound of its head")
+{
+    Caller caller;
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+    FloodServer server(
+        flood("HTTP/1.1 100 Continue\r\n\r\n" + interim + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", ""));
+    const auto answer = caller.fetch(server.address());
+    REQUIRE(answer.result.error == ErrorKind::None);
+    REQUIRE(answer.response.status == 200);
+    REQUIRE(answer.response.body == "done");
+    requireCut(flood("", interim));
+    FloodServer switching(flood("HTTP/1.1 101 Switching Protocols\r\n\r\n", block));
+    REQUIRE(caller.fetch(switching.address()).result.error == ErrorKind::EndpointFailed);
+}
+
+// Guards against bytes behind an answer that are taken for the answer to the next request.
+TEST_CASE("bytes without end behind an answer close its connection and do not spoil it")
+{
+    Caller caller;
+    const std::string answerBytes = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    FloodServer server(flood(answerBytes + block, block));
+    for (std::size_t round = 1; round <= 3; ++round) {
+        const auto answer = caller.fetch(server.address());
+        REQUIRE(answer.result.error == ErrorKind::None);
+        REQUIRE(answer.response.body == "done");
+        REQUIRE(server.connections() == round);
+    }
+    REQUIRE(server.sentBytes() < 3 * socketBytes);
+    // Bytes that come once the connection is in use again are no answer either.
+    FloodServer late(flood(answerBytes, block));
+    for (int round = 0; round < 20; ++round) {
+        const auto answer = caller.fetch(late.address());
+        const bool isWhole = answer.result.error == ErrorKind::None && answer.response.body == "done";
+        const bool isFailed = answer.result.error == ErrorKind::EndpointFailed && answer.response.status == 0;
+        REQUIRE((isWhole || isFailed));
+    }
+}
+
+// Guards against memory that grows because a reader is slower than the peer.
+TEST_CASE("a call reads no more than its window ahead of what has been consumed")
+{
+    constexpr std::size_t window = std::size_t { 64 } * 1024;
+    constexpr std::size_t block16 = std::size_t { 16 } * 1024;
+    Caller caller;
+    FloodServer server(flood("HTTP/1.1 200 OK\r\n\r\n", block));
+    std::atomic<std::size_t> received = 0;
+    std::promise<HttpResult> ended;
+    HttpClientHooks hooks;
+    hooks.bodyLimit = [](const HttpResponse&) { return std::numeric_limits<std::size_t>::max(); };
+    hooks.onBody = [&](std::string_view part) { received += part.size(); };
+    hooks.onEnd = [&](HttpResult result) { ended.set_value(result); };
+    const auto call
+        = caller.client.stream(server.address(), {}, { Milliseconds(30'000), true, window }, std::move(hooks));
+    std::size_t consumed = 0;
+    for (int round = 0; round < 50; ++round) {
+        REQUIRE(holdsSoon([&] { return received >= consumed + window; }));
+        std::this_thread::sleep_for(Milliseconds(2));
+        const auto ahead = received - consumed;
+        REQUIRE(ahead < window + block16);
+        consumed += ahead;
+        call.consume(ahead);
+    }
+    call.cancel();
+    auto result = ended.get_future();
+    REQUIRE(result.wait_for(testLimit) == std::future_status::ready);
+    REQUIRE(result.get().error == ErrorKind::Cancelled);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+}
+
+TEST_CASE("a call whose window stays closed ends at its time limit")
+{
+    Caller caller;
+    FloodServer server(flood("HTTP/1.1 200 OK\r\n\r\n", block));
+    std::promise<HttpResult> ended;
+    HttpClientHooks hooks;
+    hooks.bodyLimit = [](const HttpResponse&) { return std::numeric_limits<std::size_t>::max(); };
+    hooks.onEnd = [&](HttpResult result) { ended.set_value(result); };
+    caller.client.stream(server.address(), {}, { Milliseconds(300), true, 1000 }, std::move(hooks));
+    REQUIRE(ended.get_future().get().error == ErrorKind::DeadlineExceeded);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == 1; }));
+}
+
+// Guards against a caller that fills the memory with bytes that belong to no part of a request.
+TEST_CASE("a request whose chunk extensions or trailers have no end is refused and does not reach the handler")
+{
+    constexpr std::size_t mostBytes = std::size_t { 64 } * 1024 * 1024;
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string opening : { "4;name=", "1\r\nx\r\n0\r\nName: " }) {
+        Runtime runtime;
+        runtime.start();
+        std::atomic<int> handled = 0;
+        HttpServer server(runtime, {}, [&](const HttpRequest&, const HttpExchange& exchange) {
+            ++handled;
+            exchange.respond({});
+        });
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({ asio::ip::address_v4::loopback(), server.address().port });
+        asio::write(socket, asio::buffer(head + opening));
+        std::size_t sent = 0;
+        boost::system::error_code error;
+        while (!error && sent < mostBytes)
+            sent += asio::write(socket, asio::buffer(block), error);
+        REQUIRE(sent < socketBytes);
+        REQUIRE(handled == 0);
+    }
+}
