Count instances that do not answer as doubts about an unknown turn

What callers would see: 404 for a turn that was answered whole. While the store takes longer than 60 ms a turn is answered whole when two other failure domains hold copies. The next turn, at an instance that has no copy, is looked for at all instances with 150 ms to answer, and the replies to that question were not looked at: an instance that is heard from and does not answer in time, as one with too little of its processor, counted as one that does not have the turn. The store had no record yet, and without a failed call within the retention the turn was called unknown for certain.

The search now collects what speaks against certainty (SearchDoubts): members not known, instances not reached or silent, members of the failure domain that are not certain, partitions not read, turns that may have been lost. Only a search without doubts calls a turn unknown.

Ruled out: a member that is not reached was counted before.

Evidence, before the change: 'a turn is not called unknown while an instance of another failure domain has not answered' got 404 where 503 is due, at the first try. The silent instance is a fleet member whose messages stay unanswered.

--- a/src/ingress/history.cpp
+++ b/src/ingress/history.cpp
@@ -23,23 +23,36 @@
     return history.missing.empty() ? std::move(history.turns) : std::vector<SharedTurn> {};
 }
 
-asio::awaitable<bool> Ingress::Impl::askForTurn(asio::any_io_executor executor, std::vector<FleetMember> members,
-    std::string turn, HistoryDepth depth, TimePoint deadline)
+asio::awaitable<void> Ingress::Impl::askForTurn(asio::any_io_executor executor, std::vector<FleetMember> members,
+    std::string turn, HistoryDepth depth, TimePoint deadline, SearchDoubts& doubts)
 {
+    struct Answer {
+        FleetMember member;
+        std::optional<HistoryReply> reply;
+    };
     const auto limit = depth == HistoryDepth::Memory ? askLimit : deepAskLimit;
-    const auto answers = askEach<HistoryReply>(executor, this->fleet, members, HistoryRequest { turn, depth }, limit);
-    bool certain = true;
-    for (std::size_t index = 0; index < members.size(); ++index) {
-        auto next = co_await answers.next(std::min(deadline, RuntimeClock::now() + limit));
-        auto answer = std::move(next).value_or(std::nullopt);
-        certain = certain && answer && answer->certain;
-        if (!answer || answer->turns.empty())
+    const Mailbox<Answer> answers(executor);
+    askMembers<HistoryReply>(this->fleet, members, HistoryRequest { turn, depth }, limit,
+        [answers](const FleetMember& member, std::optional<HistoryReply> reply) {
+            answers.push({ member, std::move(reply) });
+        });
+    const auto end = std::min(deadline, RuntimeClock::now() + limit);
+    while (!members.empty()) {
+        auto answer = co_await answers.next(end);
+        if (!answer)
+            break;
+        if (!answer->reply)
+            continue;
+        std::erase_if(members, [&](const FleetMember& member) { return member.name == answer->member.name; });
+        if (depth == HistoryDepth::Store && !answer->reply->certain)
+            doubts.unsure.push_back(answer->member);
+        if (answer->reply->turns.empty())
             continue;
-        for (auto& held : answer->turns)
+        for (auto& held : answer->reply->turns)
             this->addTurn(std::move(held), std::nullopt, heldCopyLife);
-        co_return false;
+        co_return;
     }
-    co_return certain;
+    std::ranges::move(members, std::back_inserter(doubts.silent));
 }
 
 void Ingress::Impl::applyTurns(StorePartition partition, const std::vector<StoreRecord>& records)
@@ -154,31 +167,39 @@
     asio::any_io_executor executor, StorePartition partition, std::string turn, TimePoint deadline)
 {
     const auto isHeld = [&] { return this->findTurn(turn) != nullptr; };
-    // The instances that keep the program in other failure domains, and the next one in this.
-    co_await this->askForTurn(executor, this->likelyHolders(partition), turn, HistoryDepth::Memory, deadline);
+    SearchDoubts doubts;
+    // The instances that keep the program in other failure domains, and the next one in this. All are asked below.
+    SearchDoubts passing;
+    co_await this->askForTurn(executor, this->likelyHolders(partition), turn, HistoryDepth::Memory, deadline, passing);
     if (isHeld())
         co_return TurnSearch::Found;
-    const bool isRead = co_await this->readTurns(executor, partition);
-    bool certain = isRead && !this->mayHaveLostTurns();
+    if (!co_await this->readTurns(executor, partition))
+        doubts.unread.insert(partition);
+    doubts.mayHaveLost = this->mayHaveLostTurns();
     if (isHeld())
         co_return TurnSearch::Found;
     // The turn may belong to another program, or be known only to the instance that answered it.
-    const auto reachable = this->fleet.reachable();
-    certain = certain && this->membersKnown && reachable.size() + 1 == this->fleet.size();
+    doubts.membersKnown = this->membersKnown;
     std::vector<FleetMember> members;
-    std::ranges::transform(reachable, std::back_inserter(members), &Peer::member);
-    co_await this->askForTurn(executor, members, turn, HistoryDepth::Memory, deadline);
+    std::ranges::transform(this->fleet.reachable(), std::back_inserter(members), &Peer::member);
+    for (const auto& peer : this->fleet.peers()) {
+        if (std::ranges::find(members, peer.member.name, &FleetMember::name) == members.end())
+            doubts.silent.push_back(peer.member);
+    }
+    co_await this->askForTurn(executor, members, turn, HistoryDepth::Memory, deadline, doubts);
     if (isHeld())
         co_return TurnSearch::Found;
-    for (const auto kept : this->keptPartitions())
-        certain = co_await this->readTurns(executor, kept) && certain;
+    for (const auto kept : this->keptPartitions()) {
+        if (!co_await this->readTurns(executor, kept))
+            doubts.unread.insert(kept);
+    }
     if (isHeld())
         co_return TurnSearch::Found;
     std::erase_if(members, [&](const FleetMember& member) { return member.domain != this->init.domain; });
-    certain = co_await this->askForTurn(executor, members, turn, HistoryDepth::Store, deadline) && certain;
+    co_await this->askForTurn(executor, members, turn, HistoryDepth::Store, deadline, doubts);
     if (isHeld())
         co_return TurnSearch::Found;
-    co_return certain ? TurnSearch::Unknown : TurnSearch::Unsure;
+    co_return doubts.none() ? TurnSearch::Unknown : TurnSearch::Unsure;
 }
 
 asio::awaitable<Result<std::vector<SharedTurn>>> Ingress::Impl::historyOf(
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -82,18 +82,47 @@
     Count
 };
 
-/// Sends a message to instances. The mailbox gets one entry for each of them within `limit`: the reply, or nothing when
-/// the instance does not answer or answers otherwise.
+/// What keeps a search for a turn from calling the turn unknown.
+struct SearchDoubts {
+    /// Whether the store's list of the instances has been read.
+    bool membersKnown = false;
+    /// Instances that are not reached or have not answered.
+    std::vector<FleetMember> silent {};
+    /// Instances of the failure domain that have not read their partitions, or may have lost turns.
+    std::vector<FleetMember> unsure {};
+    /// Partitions that this instance has not read.
+    std::set<StorePartition> unread {};
+    /// Whether turns may have been lost, as this instance knows it.
+    bool mayHaveLost = false;
+
+    bool none() const
+    {
+        return this->membersKnown && this->silent.empty() && this->unsure.empty() && this->unread.empty()
+            && !this->mayHaveLost;
+    }
+};
+
+/// Sends a message to instances. `onAnswer` gets, for each of them within `limit`, the reply, or nothing when the
+/// instance does not answer or answers otherwise; it is called on any thread.
+template <typename Reply, typename OnAnswer>
+void askMembers(Fleet& fleet, const std::vector<FleetMember>& members, const Message& message, Milliseconds limit,
+    const OnAnswer& onAnswer)
+{
+    for (const auto& member : members)
+        fleet.call(member.address, message, limit, [member, onAnswer](Result<Message> answer, bool) {
+            auto* reply = answer ? std::get_if<Reply>(&answer.value()) : nullptr;
+            onAnswer(member, reply ? std::optional<Reply>(std::move(*reply)) : std::nullopt);
+        });
+}
+
+/// As `askMembers`; the answers go to a mailbox.
 template <typename Reply>
 Mailbox<std::optional<Reply>> askEach(const asio::any_io_executor& executor, Fleet& fleet,
     const std::vector<FleetMember>& members, const Message& message, Milliseconds limit)
 {
     Mailbox<std::optional<Reply>> answers(executor);
-    for (const auto& member : members)
-        fleet.call(member.address, message, limit, [answers](Result<Message> answer, bool) {
-            auto* reply = answer ? std::get_if<Reply>(&answer.value()) : nullptr;
-            answers.push(reply ? std::optional<Reply>(std::move(*reply)) : std::nullopt);
-        });
+    askMembers<Reply>(fleet, members, message, limit,
+        [answers](const FleetMember&, std::optional<Reply> reply) { answers.push(std::move(reply)); });
     return answers;
 }
 
@@ -244,9 +273,10 @@
         asio::any_io_executor executor, StorePartition partition, std::string turn, TimePoint deadline);
     /// Returns the history as far as this instance holds it whole; empty otherwise.
     std::vector<SharedTurn> heldHistory(std::string_view turn);
-    /// Asks instances for a turn and what it continues; returns whether none has it and all are certain of that.
-    asio::awaitable<bool> askForTurn(asio::any_io_executor executor, std::vector<FleetMember> members, std::string turn,
-        HistoryDepth depth, TimePoint deadline);
+    /// Asks instances for a turn and what it continues, until one has it. Adds those that do not answer or are not
+    /// certain to `doubts`.
+    asio::awaitable<void> askForTurn(asio::any_io_executor executor, std::vector<FleetMember> members, std::string turn,
+        HistoryDepth depth, TimePoint deadline, SearchDoubts& doubts);
     /// Returns the instances that keep a partition's programs in each failure domain, this one left out.
     std::vector<FleetMember> likelyHolders(StorePartition partition);
     /// Returns the partitions whose programs this instance keeps in its failure domain.
--- /dev/null
+++ b/tests/ingress/history.cpp
@@ -0,0 +1,76 @@
+#include "fixture.h"
+
+#include "peridotramp/fleet.h"
+
+#include <boost/json.hpp>
+
+using namespace peridotramp;
+
+namespace {
+
+// A turn that continues another one, of the program `p1`.
+HttpRequest continuation(const std::string& id, const std::string& previous)
+{
+    auto request = Deployment::request("POST", "/t/x", id);
+    request.headers.push_back({ "Program-Id", "p1" });
+    request.headers.push_back({ "Token-Count", "100,30" });
+    request.headers.push_back({ "Previous-Turn", previous });
+    return request;
+}
+
+// Number of other instances that an instance has heard from.
+std::int64_t heardPeers(const Ingress& instance)
+{
+    const auto state = boost::json::parse(instance.dump()).as_object();
+    const auto& peers = state.at("peers").as_array();
+    return std::ranges::count_if(peers, [](const auto& peer) { return peer.at("heard").as_bool(); });
+}
+
+// An instance of another failure domain that is heard from and answers no message, as one that has too little of its
+// processor.
+struct SilentInstance {
+    SilentInstance(Deployment& deployment, const Ingress& other, const std::string& otherName)
+        : fleet(deployment.runtime, { { "silent", "b", { "127.0.0.1", 0 }, 1 }, { 7 } }, this->hooks())
+    {
+        this->fleet.announce({ otherName, "a", other.peerAddress(), 1 });
+        this->fleet.start();
+        deployment.fake.put(StoreTopic::Members, {}, "silent", encodeMember(this->fleet.self()));
+    }
+
+    FleetHooks hooks()
+    {
+        FleetHooks silent;
+        silent.fillStatus = [](InstanceStatus&) { };
+        silent.onStatus = [](const InstanceStatus&) { };
+        silent.fillSummary = [](DomainSummary&) { };
+        silent.onSummary = [](const DomainSummary&) { };
+        silent.fillDigest = [](FleetDigest&) { };
+        silent.onDigest = [](const FleetDigest&) { };
+        silent.onMessage = [this](const Message&, const RpcReply& reply) {
+            const std::scoped_lock lock(this->mutex);
+            this->unanswered.push_back(reply);
+        };
+        silent.onPeriod = [] { };
+        silent.onMembersChanged = [] { };
+        return silent;
+    }
+
+    std::mutex mutex;
+    std::vector<RpcReply> unanswered;
+    Fleet fleet;
+};
+
+} // namespace
+
+// Guards against a kept turn that is called unknown although an instance that may hold the only copy has not answered.
+TEST_CASE("a turn is not called unknown while an instance of another failure domain has not answered")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    const auto instance = deployment.startReady("n1");
+    SilentInstance silent(deployment, *instance, "n1");
+    REQUIRE(holdsSoon([&] { return heardPeers(*instance) == 1; }));
+    for (const auto* id : { "t1", "t2", "t3" })
+        REQUIRE(deployment.send(*instance, continuation(id, "unknown")).second.status == 503);
+}
