Call a turn unknown only when an instance has watched the store throughout

What callers would see: 404 for a turn that was answered whole. A process that started after an outage of the store had no failed call to remember, and took that for proof that nothing was lost. When the instances that held a copied turn lost power before the store returned, all instances of the failure domain could be in this position, and called the turn unknown for certain as soon as they had read the store.

A reply to a search now says what the instance has seen of the store: failed, no failure since its start, or no failure in the whole time in which turns are kept. A turn is unknown only when no instance of the failure domain has seen a failure and at least one instance anywhere has watched for the whole time. A process of the first start of the whole system counts as one that has. The reply of a search in memory carries it, too, so after a planned restart any other instance serves as the witness.

Ruled out: a process that starts during an outage has a failed call of its own and was right before.

The last check of 'a restarted instance finds the turns that its earlier incarnation had stored' expected 404 right after the restart of the only instance, which is the fault. It now expects 503 three times and 404 once turns of the time before the start are not kept any more.

--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -216,12 +216,24 @@
     HistoryDepth depth = HistoryDepth::Memory;
 };
 
+/// What an instance has seen of the metadata store in the longest time for which turns are kept.
+enum class StoreWatch : std::uint8_t {
+    /// A call failed: turns may have been held by instances alone.
+    Failed,
+    /// No call failed since the process started; it cannot know of the time before.
+    SinceStart,
+    /// No call failed in the whole time.
+    Whole,
+    Count
+};
+
 struct HistoryReply {
     /// Turns from the oldest that is held; empty when `turn` is not held.
     std::vector<ConversationTurn> turns;
     /// Whether the instance has read its partitions of the metadata store up to an end that was current after the
     /// question.
-    bool certain = false;
+    bool isRead = false;
+    StoreWatch watch = StoreWatch::Failed;
 };
 
 /// Asks an instance to keep a copy of a turn that the metadata store has not acknowledged.
--- a/src/ingress/history.cpp
+++ b/src/ingress/history.cpp
@@ -44,8 +44,12 @@
         if (!answer->reply)
             continue;
         std::erase_if(members, [&](const FleetMember& member) { return member.name == answer->member.name; });
-        if (depth == HistoryDepth::Store && !answer->reply->certain)
+        const auto watch = answer->reply->watch;
+        doubts.watched = doubts.watched || watch == StoreWatch::Whole;
+        if (depth == HistoryDepth::Store && !answer->reply->isRead)
             doubts.unsure.push_back(answer->member);
+        if (depth == HistoryDepth::Store && watch == StoreWatch::Failed)
+            doubts.withoutStore.push_back(answer->member);
         if (answer->reply->turns.empty())
             continue;
         for (auto& held : answer->reply->turns)
@@ -122,7 +126,7 @@
 asio::awaitable<HistoryReply> Ingress::Impl::answerHistory(asio::any_io_executor executor, HistoryRequest request)
 {
     const auto collect = [&] {
-        HistoryReply reply;
+        HistoryReply reply { {}, false, this->storeWatch() };
         const auto held = collectHistory(request.turn, [this](std::string_view id) { return this->findTurn(id); });
         std::ranges::transform(held.turns, std::back_inserter(reply.turns),
             [](const SharedTurn& turn) { return ConversationTurn(*turn); });
@@ -135,7 +139,7 @@
     for (const auto partition : this->keptPartitions())
         all = co_await this->readTurns(executor, partition) && all;
     reply = collect();
-    reply.certain = all && !this->mayHaveLostTurns();
+    reply.isRead = all;
     co_return reply;
 }
 
@@ -161,13 +165,20 @@
     return holders;
 }
 
-bool Ingress::Impl::mayHaveLostTurns() { return this->storeHealth.sinceFailure() < this->longestRetention(); }
+StoreWatch Ingress::Impl::storeWatch()
+{
+    const auto retention = this->longestRetention();
+    if (this->storeHealth.sinceFailure() < retention)
+        return StoreWatch::Failed;
+    // Nothing has been lost before the first start of the whole system.
+    const bool isWhole = this->init.firstStart || RuntimeClock::now() - this->startedAt >= retention;
+    return isWhole ? StoreWatch::Whole : StoreWatch::SinceStart;
+}
 
-asio::awaitable<TurnSearch> Ingress::Impl::findMissingTurn(
-    asio::any_io_executor executor, StorePartition partition, std::string turn, TimePoint deadline)
+asio::awaitable<TurnSearch> Ingress::Impl::findMissingTurn(asio::any_io_executor executor, StorePartition partition,
+    std::string turn, TimePoint deadline, SearchDoubts& doubts)
 {
     const auto isHeld = [&] { return this->findTurn(turn) != nullptr; };
-    SearchDoubts doubts;
     // The instances that keep the program in other failure domains, and the next one in this. All are asked below.
     SearchDoubts passing;
     co_await this->askForTurn(executor, this->likelyHolders(partition), turn, HistoryDepth::Memory, deadline, passing);
@@ -175,11 +186,14 @@
         co_return TurnSearch::Found;
     if (!co_await this->readTurns(executor, partition))
         doubts.unread.insert(partition);
-    doubts.mayHaveLost = this->mayHaveLostTurns();
     if (isHeld())
         co_return TurnSearch::Found;
     // The turn may belong to another program, or be known only to the instance that answered it.
     doubts.membersKnown = this->membersKnown;
+    const auto watch = this->storeWatch();
+    doubts.watched = watch == StoreWatch::Whole;
+    if (watch == StoreWatch::Failed)
+        doubts.withoutStore.push_back(this->fleet.self());
     std::vector<FleetMember> members;
     std::ranges::transform(this->fleet.reachable(), std::back_inserter(members), &Peer::member);
     for (const auto& peer : this->fleet.peers()) {
@@ -215,8 +229,9 @@
         if (history.missing.empty())
             co_return History(history.turns);
         this->metrics.count("history_searches");
+        SearchDoubts doubts;
         const auto found
-            = co_await this->findMissingTurn(executor, this->partitionOf(program), history.missing, deadline);
+            = co_await this->findMissingTurn(executor, this->partitionOf(program), history.missing, deadline, doubts);
         if (found == TurnSearch::Unknown)
             co_return History(Error { ErrorKind::UnknownTurn, Outcome::NotRun, turn });
         if (found == TurnSearch::Unsure)
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -88,17 +88,19 @@
     bool membersKnown = false;
     /// Instances that are not reached or have not answered.
     std::vector<FleetMember> silent {};
-    /// Instances of the failure domain that have not read their partitions, or may have lost turns.
+    /// Instances of the failure domain that have not read their partitions.
     std::vector<FleetMember> unsure {};
     /// Partitions that this instance has not read.
     std::set<StorePartition> unread {};
-    /// Whether turns may have been lost, as this instance knows it.
-    bool mayHaveLost = false;
+    /// Instances of the failure domain whose calls to the store have failed.
+    std::vector<FleetMember> withoutStore {};
+    /// Whether an instance of any failure domain has watched the store for the whole time in which turns are kept.
+    bool watched = false;
 
     bool none() const
     {
         return this->membersKnown && this->silent.empty() && this->unsure.empty() && this->unread.empty()
-            && !this->mayHaveLost;
+            && this->withoutStore.empty() && this->watched;
     }
 };
 
@@ -266,11 +268,12 @@
     /// Finds the history up to a turn, wherever it is, or gives the error with which the request is refused.
     asio::awaitable<Result<std::vector<SharedTurn>>> historyOf(
         asio::any_io_executor executor, ProgramId program, std::string turn, std::string workspace, TimePoint deadline);
-    /// Whether turns that callers have received may have been lost: while the store was away they were held only by
-    /// instances that may have failed since. A turn that is not found is then not called unknown.
-    bool mayHaveLostTurns();
-    asio::awaitable<TurnSearch> findMissingTurn(
-        asio::any_io_executor executor, StorePartition partition, std::string turn, TimePoint deadline);
+    /// Turns that callers have received may be lost when the store was away: they were held only by instances that may
+    /// have failed since. A turn that is not found is then not called unknown.
+    StoreWatch storeWatch();
+    /// Looks for a turn wherever it may be; `doubts` says why one that is not found is not called unknown.
+    asio::awaitable<TurnSearch> findMissingTurn(asio::any_io_executor executor, StorePartition partition,
+        std::string turn, TimePoint deadline, SearchDoubts& doubts);
     /// Returns the history as far as this instance holds it whole; empty otherwise.
     std::vector<SharedTurn> heldHistory(std::string_view turn);
     /// Asks instances for a turn and what it continues, until one has it. Adds those that do not answer or are not
--- a/src/nodes/messages_p.h
+++ b/src/nodes/messages_p.h
@@ -251,7 +251,8 @@
 
 template <typename Archive> void serialize(Archive& archive, HistoryReply& message)
 {
-    archive(message.turns, message.certain);
+    archive(message.turns, message.isRead);
+    checked(archive, message.watch);
 }
 
 template <typename Archive> void serialize(Archive& archive, TurnCopy& message)
--- a/tests/ingress/history.cpp
+++ b/tests/ingress/history.cpp
@@ -62,6 +62,30 @@
 
 } // namespace
 
+// Guards against a kept turn that is called unknown by a process that cannot know whether the store was away before it
+// started: the turn may then have been held only by instances that have failed since.
+TEST_CASE("an instance calls no turn unknown from what it has seen since a restart alone")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    const auto again = deployment.startReady("n1", false);
+    for (const auto* id : { "t1", "t2", "t3" })
+        REQUIRE(deployment.send(*again, continuation(id, "unknown")).second.status == 503);
+}
+
+// Guards against instances that call no turn unknown for a long time after each planned restart.
+TEST_CASE("a restarted instance calls a turn unknown when another one has seen no loss of the store")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    const auto first = deployment.startReady("n1", true, "b");
+    const auto again = deployment.startReady("n2", false, "a");
+    REQUIRE(holdsSoon([&] { return heardPeers(*again) == 1; }));
+    REQUIRE(holdsSoon([&] { return deployment.send(*again, continuation("t1", "unknown")).second.status == 404; }));
+}
+
 // Guards against a kept turn that is called unknown although an instance that may hold the only copy has not answered.
 TEST_CASE("a turn is not called unknown while an instance of another failure domain has not answered")
 {
--- a/tests/ingress/turns.cpp
+++ b/tests/ingress/turns.cpp
@@ -57,8 +57,12 @@
     deployment.fake.setMode(FakeStore::Mode::Refusing);
     REQUIRE(deployment.send(*again, turn("/t/x", "t3", "x", "unknown")).second.status == 503);
     deployment.fake.setMode(FakeStore::Mode::Serving);
+    // No instance has seen whether the store was away before the start, until turns of that time are not kept any more.
+    for (const auto* id : { "t4", "t5", "t6" })
+        REQUIRE(deployment.send(*again, turn("/t/x", id, "x", "unknown")).second.status == 503);
+    RuntimeClock::advance(Seconds(60));
     REQUIRE(
-        holdsSoon([&] { return deployment.send(*again, turn("/t/x", "t4", "x", "unknown")).second.status == 404; }));
+        holdsSoon([&] { return deployment.send(*again, turn("/t/x", "t7", "x", "unknown")).second.status == 404; }));
 }
 
 // Guards against a turn that is called unknown by a process that does not know the other instances yet.
