Append a group of records again as it was

What callers would see: turns that were answered whole during an outage of the store and are lost when the instances that hold them lose power, even long after the store is back. Each retry of an append moved further waiting records into the group that had got no answer, up to 512 KB each time. The bound of the writer's memory did not hold either: records that moved into the group were not counted.

A group is filled only when it is empty, stays below its size unless a single record is larger, and counts against the memory until it is stored.

--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -27,6 +27,8 @@
     // Returns whether there was room for the record.
     bool add(StoreRecord record, StoredHook hook);
     void startAppend();
+    // Moves records that wait into the empty group, as many as one append takes; called under the lock.
+    void fillGroup();
     void finishAppend(bool stored);
 
     Runtime& runtime;
@@ -35,12 +37,25 @@
     mutable std::mutex mutex {};
     std::deque<WaitingRecord> waiting {};
     std::vector<WaitingRecord> group {};
+    // Of the records that wait and of the group.
     std::size_t waitingBytes = 0;
     bool appending = false;
     bool stopped = false;
     Milliseconds retry;
 };
 
+void StoreWriter::Impl::fillGroup()
+{
+    std::size_t bytes = 0;
+    while (!this->waiting.empty()) {
+        bytes += sizeOf(this->waiting.front().record);
+        if (!this->group.empty() && bytes > this->init.maxGroupBytes)
+            break;
+        this->group.push_back(std::move(this->waiting.front()));
+        this->waiting.pop_front();
+    }
+}
+
 void StoreWriter::Impl::startAppend()
 {
     std::vector<StoreRecord> records;
@@ -49,16 +64,9 @@
         if (this->stopped || this->appending || (this->waiting.empty() && this->group.empty()))
             return;
         this->appending = true;
-        std::size_t bytes = 0;
-        // A group that got no answer is appended again as it was.
-        while (this->group.empty() || (!this->waiting.empty() && bytes < this->init.maxGroupBytes)) {
-            if (this->waiting.empty())
-                break;
-            bytes += sizeOf(this->waiting.front().record);
-            this->group.push_back(std::move(this->waiting.front()));
-            this->waiting.pop_front();
-        }
-        this->waitingBytes -= std::min(bytes, this->waitingBytes);
+        // A group that got no answer is appended again as it was; it would outgrow the largest call of the store.
+        if (this->group.empty())
+            this->fillGroup();
         std::ranges::transform(this->group, std::back_inserter(records), &WaitingRecord::record);
     }
     this->store.append(this->init.topic, this->init.partition, records,
@@ -74,6 +82,8 @@
         this->appending = false;
         if (stored) {
             ended = std::exchange(this->group, {});
+            for (const auto& entry : ended)
+                this->waitingBytes -= sizeOf(entry.record);
             this->retry = Milliseconds(0);
         } else {
             // The first retry goes at once: the connection may have been silent while the store is there.
--- a/tests/store/store.cpp
+++ b/tests/store/store.cpp
@@ -77,6 +77,36 @@
     REQUIRE(writer.waiting() == 0);
 }
 
+// Guards against a group that grows with each retry until the store refuses it for its size, for good.
+TEST_CASE("no append of a writer exceeds the size of a group, however long the store was away")
+{
+    Loop loop;
+    MetadataStore counting = loop.store;
+    std::atomic<std::size_t> most = 0;
+    counting.append = [&](StoreTopic topic, StorePartition partition, const std::vector<StoreRecord>& records,
+                          MetadataStore::AppendHook hook) {
+        std::size_t bytes = 0;
+        for (const auto& record : records)
+            bytes += record.key.size() + record.value.size();
+        most = std::max(most.load(), bytes);
+        loop.store.append(topic, partition, records, std::move(hook));
+    };
+    StoreWriter::Init init;
+    init.maxGroupBytes = 1000;
+    init.leastRetry = Milliseconds(1);
+    init.mostRetry = Milliseconds(5);
+    StoreWriter writer(loop.runtime, counting, init);
+    loop.fake.setMode(FakeStore::Mode::Refusing);
+    for (int index = 0; index < 50; ++index)
+        writer.write({ std::to_string(index), std::string(300, 'x'), {} }, nullptr);
+    std::this_thread::sleep_for(Milliseconds(200));
+    REQUIRE(writer.waiting() == 50);
+    loop.fake.setMode(FakeStore::Mode::Serving);
+    REQUIRE(holdsSoon([&] { return writer.waiting() == 0; }));
+    REQUIRE(loop.fake.keys(StoreTopic::Turns) == 50);
+    REQUIRE(most <= 1000);
+}
+
 TEST_CASE("a writer refuses what exceeds its memory")
 {
     Loop loop;
