--- a/src/ingress/history.cpp
+++ b/src/ingress/history.cpp
@@ -23,23 +23,40 @@
     return history.missing.empty() ? std::move(history.turns) : std::vector<SharedTurn> {};
 }
 
-asio::awaitable<bool> Ingress::Impl::askForTurn(asio::any_io_executor executor, std::vector<FleetMember> members,
-    std::string turn, HistoryDepth depth, TimePoint deadline)
+asio::awaitable<void> Ingress::Impl::askForTurn(asio::any_io_executor executor, std::vector<FleetMember> members,
+    std::string turn, HistoryDepth depth, TimePoint deadline, SearchDoubts& doubts)
 {
+    struct Answer {
+        FleetMember member;
+        std::optional<HistoryReply> reply;
+    };
     const auto limit = depth == HistoryDepth::Memory ? askLimit : deepAskLimit;
-    const auto answers = askEach<HistoryReply>(executor, this->fleet, members, HistoryRequest { turn, depth }, limit);
-    bool certain = true;
-    for (std::size_t index = 0; index < members.size(); ++index) {
-        auto next = co_await answers.next(std::min(deadline, RuntimeClock::now() + limit));
-        auto answer = std::move(next).value_or(std::nullopt);
-        certain = certain && answer && answer->certain;
-        if (!answer || answer->turns.empty())
+    const Mailbox<Answer> answers(executor);
+    askMembers<HistoryReply>(this->fleet, members, HistoryRequest { turn, depth }, limit,
+        [answers](const FleetMember& member, std::optional<HistoryReply> reply) {
+            answers.push({ member, std::move(reply) });
+        });
+    const auto end = std::min(deadline, RuntimeClock::now() + limit);
+    while (!members.empty()) {
+        auto answer = co_await answers.next(end);
+        if (!answer)
+            break;
+        if (!answer->reply)
             continue;
-        for (auto& held : answer->turns)
+        std::erase_if(members, [&](const FleetMember& member) { return member.name == answer->member.name; });
+        const auto watch = answer->reply->watch;
+        doubts.watched = doubts.watched || watch == StoreWatch::Whole;
+        if (depth == HistoryDepth::Store && !answer->reply->isRead)
+            doubts.unsure.push_back(answer->member);
+        if (depth == HistoryDepth::Store && watch == StoreWatch::Failed)
+            doubts.withoutStore.push_back(answer->member);
+        if (answer->reply->turns.empty())
+            continue;
+        for (auto& held : answer->reply->turns)
             this->addTurn(std::move(held), std::nullopt, heldCopyLife);
-        co_return false;
+        co_return;
     }
-    co_return certain;
+    std::ranges::move(members, std::back_inserter(doubts.silent));
 }
 
 void Ingress::Impl::applyTurns(StorePartition partition, const std::vector<StoreRecord>& records)
@@ -109,7 +126,7 @@
 asio::awaitable<HistoryReply> Ingress::Impl::answerHistory(asio::any_io_executor executor, HistoryRequest request)
 {
     const auto collect = [&] {
-        HistoryReply reply;
+        HistoryReply reply { {}, false, this->storeWatch() };
         const auto held = collectHistory(request.turn, [this](std::string_view id) { return this->findTurn(id); });
         std::ranges::transform(held.turns, std::back_inserter(reply.turns),
             [](const SharedTurn& turn) { return ConversationTurn(*turn); });
@@ -122,7 +139,7 @@
     for (const auto partition : this->keptPartitions())
         all = co_await this->readTurns(executor, partition) && all;
     reply = collect();
-    reply.certain = all && !this->mayHaveLostTurns();
+    reply.isRead = all;
     co_return reply;
 }
 
@@ -148,37 +165,55 @@
     return holders;
 }
 
-bool Ingress::Impl::mayHaveLostTurns() { return this->storeHealth.sinceFailure() < this->longestRetention(); }
+StoreWatch Ingress::Impl::storeWatch()
+{
+    const auto retention = this->longestRetention();
+    if (this->storeHealth.sinceFailure() < retention)
+        return StoreWatch::Failed;
+    // Nothing has been lost before the first start of the whole system.
+    const bool isWhole = this->init.firstStart || RuntimeClock::now() - this->startedAt >= retention;
+    return isWhole ? StoreWatch::Whole : StoreWatch::SinceStart;
+}
 
-asio::awaitable<TurnSearch> Ingress::Impl::findMissingTurn(
-    asio::any_io_executor executor, StorePartition partition, std::string turn, TimePoint deadline)
+asio::awaitable<TurnSearch> Ingress::Impl::findMissingTurn(asio::any_io_executor executor, StorePartition partition,
+    std::string turn, TimePoint deadline, SearchDoubts& doubts)
 {
     const auto isHeld = [&] { return this->findTurn(turn) != nullptr; };
-    // The instances that keep the program in other failure domains, and the next one in this.
-    co_await this->askForTurn(executor, this->likelyHolders(partition), turn, HistoryDepth::Memory, deadline);
+    // The instances that keep the program in other failure domains, and the next one in this. All are asked below.
+    SearchDoubts passing;
+    co_await this->askForTurn(executor, this->likelyHolders(partition), turn, HistoryDepth::Memory, deadline, passing);
     if (isHeld())
         co_return TurnSearch::Found;
-    const bool isRead = co_await this->readTurns(executor, partition);
-    bool certain = isRead && !this->mayHaveLostTurns();
+    if (!co_await this->readTurns(executor, partition))
+        doubts.unread.insert(partition);
     if (isHeld())
         co_return TurnSearch::Found;
     // The turn may belong to another program, or be known only to the instance that answered it.
-    const auto reachable = this->fleet.reachable();
-    certain = certain && this->membersKnown && reachable.size() + 1 == this->fleet.size();
+    doubts.membersKnown = this->membersKnown;
+    const auto watch = this->storeWatch();
+    doubts.watched = watch == StoreWatch::Whole;
+    if (watch == StoreWatch::Failed)
+        doubts.withoutStore.push_back(this->fleet.self());
     std::vector<FleetMember> members;
-    std::ranges::transform(reachable, std::back_inserter(members), &Peer::member);
-    co_await this->askForTurn(executor, members, turn, HistoryDepth::Memory, deadline);
+    std::ranges::transform(this->fleet.reachable(), std::back_inserter(members), &Peer::member);
+    for (const auto& peer : this->fleet.peers()) {
+        if (std::ranges::find(members, peer.member.name, &FleetMember::name) == members.end())
+            doubts.silent.push_back(peer.member);
+    }
+    co_await this->askForTurn(executor, members, turn, HistoryDepth::Memory, deadline, doubts);
     if (isHeld())
         co_return TurnSearch::Found;
-    for (const auto kept : this->keptPartitions())
-        certain = co_await this->readTurns(executor, kept) && certain;
+    for (const auto kept : this->keptPartitions()) {
+        if (!co_await this->readTurns(executor, kept))
+            doubts.unread.insert(kept);
+    }
     if (isHeld())
         co_return TurnSearch::Found;
     std::erase_if(members, [&](const FleetMember& member) { return member.domain != this->init.domain; });
-    certain = co_await this->askForTurn(executor, members, turn, HistoryDepth::Store, deadline) && certain;
+    co_await this->askForTurn(executor, members, turn, HistoryDepth::Store, deadline, doubts);
     if (isHeld())
         co_return TurnSearch::Found;
-    co_return certain ? TurnSearch::Unknown : TurnSearch::Unsure;
+    co_return doubts.none() ? TurnSearch::Unknown : TurnSearch::Unsure;
 }
 
 asio::awaitable<Result<std::vector<SharedTurn>>> Ingress::Impl::historyOf(
@@ -194,8 +229,9 @@
         if (history.missing.empty())
             co_return History(history.turns);
         this->metrics.count("history_searches");
+        SearchDoubts doubts;
         const auto found
-            = co_await this->findMissingTurn(executor, this->partitionOf(program), history.missing, deadline);
+            = co_await this->findMissingTurn(executor, this->partitionOf(program), history.missing, deadline, doubts);
         if (found == TurnSearch::Unknown)
             co_return History(Error { ErrorKind::UnknownTurn, Outcome::NotRun, turn });
         if (found == TurnSearch::Unsure)
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -158,18 +158,49 @@
     Count
 };
 
-/// Sends a message to instances. The mailbox gets one entry for each of them within `limit`: the reply, or nothing when
-/// the instance does not answer or answers otherwise.
+/// What keeps a search for a turn from calling the turn unknown.
+struct SearchDoubts {
+    /// Whether the store's list of the instances has been read.
+    bool membersKnown = false;
+    /// Instances that are not reached or have not answered.
+    std::vector<FleetMember> silent {};
+    /// Instances of the failure domain that have not read their partitions.
+    std::vector<FleetMember> unsure {};
+    /// Partitions that this instance has not read.
+    std::set<StorePartition> unread {};
+    /// Instances of the failure domain whose calls to the store have failed.
+    std::vector<FleetMember> withoutStore {};
+    /// Whether an instance of any failure domain has watched the store for the whole time in which turns are kept.
+    bool watched = false;
+
+    bool none() const
+    {
+        return this->membersKnown && this->silent.empty() && this->unsure.empty() && this->unread.empty()
+            && this->withoutStore.empty() && this->watched;
+    }
+};
+
+/// Sends a message to instances. `onAnswer` gets, for each of them within `limit`, the reply, or nothing when the
+/// instance does not answer or answers otherwise; it is called on any thread.
+template <typename Reply, typename OnAnswer>
+void askMembers(Fleet& fleet, const std::vector<FleetMember>& members, const Message& message, Milliseconds limit,
+    const OnAnswer& onAnswer)
+{
+    for (const auto& member : members)
+        fleet.call(member.address, message, limit, [member, onAnswer](Result<Message> answer, bool) {
+            auto* reply = answer ? std::get_if<Reply>(&answer.value()) : nullptr;
+            onAnswer(member, reply ? std::optional<Reply>(std::move(*reply)) : std::nullopt);
+        });
+}
+
+/// As `askMembers`; the answers go to a mailbox.
 template <typename Reply>
 Mailbox<std::optional<Reply>> askEach(const asio::any_io_executor& executor, Fleet& fleet,
     const std::vector<FleetMember>& members, const Message& message, Milliseconds limit)
 {
     Mailbox<std::optional<Reply>> answers(executor);
-    for (const auto& member : members)
-        fleet.call(member.address, message, limit, [answers](Result<Message> answer, bool) {
-            auto* reply = answer ? std::get_if<Reply>(&answer.value()) : nullptr;
-            answers.push(reply ? std::optional<Reply>(std::move(*reply)) : std::nullopt);
-        });
+    askMembers<Reply>(fleet, members, message, limit,
+        [answers](const FleetMember&, std::optional<Reply> reply) { answers.push(std::move(reply)); });
     return answers;
 }
 
@@ -326,16 +357,18 @@
     /// Finds the history up to a turn, wherever it is, or gives the error with which the request is refused.
     asio::awaitable<Result<std::vector<SharedTurn>>> historyOf(
         asio::any_io_executor executor, ProgramId program, std::string turn, std::string workspace, TimePoint deadline);
-    /// Whether turns that callers have received may have been lost: while the store was away they were held only by
-    /// instances that may have failed since. A turn that is not found is then not called unknown.
-    bool mayHaveLostTurns();
-    asio::awaitable<TurnSearch> findMissingTurn(
-        asio::any_io_executor executor, StorePartition partition, std::string turn, TimePoint deadline);
+    /// Turns that callers have received may be lost when the store was away: they were held only by instances that may
+    /// have failed since. A turn that is not found is then not called unknown.
+    StoreWatch storeWatch();
+    /// Looks for a turn wherever it may be; `doubts` says why one that is not found is not called unknown.
+    asio::awaitable<TurnSearch> findMissingTurn(asio::any_io_executor executor, StorePartition partition,
+        std::string turn, TimePoint deadline, SearchDoubts& doubts);
     /// Returns the history as far as this instance holds it whole; empty otherwise.
     std::vector<SharedTurn> heldHistory(std::string_view turn);
-    /// Asks instances for a turn and what it continues; returns whether none has it and all are certain of that.
-    asio::awaitable<bool> askForTurn(asio::any_io_executor executor, std::vector<FleetMember> members, std::string turn,
-        HistoryDepth depth, TimePoint deadline);
+    /// Asks instances for a turn and what it continues, until one has it. Adds those that do not answer or are not
+    /// certain to `doubts`.
+    asio::awaitable<void> askForTurn(asio::any_io_executor executor, std::vector<FleetMember> members, std::string turn,
+        HistoryDepth depth, TimePoint deadline, SearchDoubts& doubts);
     /// Returns the instances that keep a partition's programs in each failure domain, this one left out.
     std::vector<FleetMember> likelyHolders(StorePartition partition);
     /// Returns the partitions whose programs this instance keeps in its failure domain.
