Count the cut answers before another endpoint joins in the test of held answers

The test failed once in a run of the whole binary with `closedByCaller() == callers` as 13 == 12: its last request may reach the endpoint that sends without end once more before it is served by the other.

--- a/tests/ingress/endless.cpp
+++ b/tests/ingress/endless.cpp
@@ -209,11 +209,11 @@
         }));
     for (auto& status : running)
         CHECK(status.get() == 502);
+    REQUIRE(holdsSoon([&] { return server.closedByCaller() == callers; }));
+    REQUIRE(server.sentBytes() < heldBytes * 3 + callers * std::size_t { 1024 } * 1024);
     deployment.addEndpoint("i-0", "desk", answerOk);
     REQUIRE(holdsSoon(
         [&] { return deployment.send(*ingress, Deployment::request("GET", "/r/x", "q")).second.status == 200; }));
-    REQUIRE(server.closedByCaller() == callers);
-    REQUIRE(server.sentBytes() < heldBytes * 3 + callers * std::size_t { 1024 } * 1024);
 }
 
 // Guards against a store that counts as reachable, and a process that is killed for its memory, because an answer of
