Say in the refusal for want of history what was missing

The log line of a 503 said 'history not at hand' and that of a 404 the turn that was asked for; neither told which condition of the search it was. The detail now names the missing turn, the partition and up to where it was read, the age of the last failure of the store and of the process, and the doubts of the search, each with a count and its first instance.

Evidence: 'a refusal for want of history names the turn, its partition and the instances that did not answer'.

--- a/src/ingress/history.cpp
+++ b/src/ingress/history.cpp
@@ -1,6 +1,7 @@
 #include "ingress_p.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace peridotramp {
 
@@ -15,6 +16,34 @@
 // Gaps in one history that are looked for; a history that crosses programs has one for each.
 constexpr int mostGaps = 6;
 
+// Number of instances and the name of the first one; an instance may be in doubt for two questions.
+std::string countOf(const std::vector<FleetMember>& members)
+{
+    std::set<std::string> names;
+    std::ranges::transform(members, std::inserter(names, names.end()), &FleetMember::name);
+    return fmt::format("{} (first {} in {})", names.size(), members.front().name, members.front().domain);
+}
+
+// What keeps a turn that is not found from being called unknown.
+std::string describe(const SearchDoubts& doubts)
+{
+    std::vector<std::string> parts;
+    if (!doubts.membersKnown)
+        parts.emplace_back("members not read");
+    if (!doubts.unread.empty())
+        parts.push_back(
+            fmt::format("partitions not read: {} (first {})", doubts.unread.size(), doubts.unread.begin()->value));
+    if (!doubts.silent.empty())
+        parts.push_back("instances not answering: " + countOf(doubts.silent));
+    if (!doubts.unsure.empty())
+        parts.push_back("instances without their partitions: " + countOf(doubts.unsure));
+    if (!doubts.withoutStore.empty())
+        parts.push_back("instances that lost the store: " + countOf(doubts.withoutStore));
+    if (!doubts.watched)
+        parts.emplace_back("no instance has watched the store for the retention");
+    return parts.empty() ? "no doubts" : fmt::format("{}", fmt::join(parts, ", "));
+}
+
 } // namespace
 
 std::vector<SharedTurn> Ingress::Impl::heldHistory(std::string_view turn)
@@ -220,24 +249,44 @@
     asio::any_io_executor executor, ProgramId program, std::string turn, std::string workspace, TimePoint deadline)
 {
     using History = Result<std::vector<SharedTurn>>;
-    const Error unsure { ErrorKind::NotReady, Outcome::NotRun, "history not at hand", retryAfterUnsure };
+    // The log line of the refusal tells what was missing; the caller is told the kind only.
+    const auto place = [&](const std::string& missing) {
+        const auto partition = this->partitionOf(program);
+        const auto cursor = this->turnCursors.with(
+            static_cast<std::uint64_t>(partition.value), [&](const std::map<StorePartition, Offset>& shard) {
+                const auto found = shard.find(partition);
+                return found == shard.end() ? std::string("not read") : fmt::format("read to {}", found->second.value);
+            });
+        const auto sinceFailure = this->storeHealth.sinceFailure();
+        const auto age = [](Duration time) { return std::chrono::duration_cast<Milliseconds>(time).count(); };
+        return fmt::format("turn {}, partition {} {}, {}, started {} ms ago", missing, partition.value, cursor,
+            sinceFailure == Duration::max() ? "no failure of the store"
+                                            : fmt::format("store failed {} ms ago", age(sinceFailure)),
+            age(RuntimeClock::now() - this->startedAt));
+    };
+    const auto unsure = [&](const std::string& missing, const std::string& reason) {
+        return History(Error { ErrorKind::NotReady, Outcome::NotRun,
+            fmt::format("history not at hand: {}: {}", place(missing), reason), retryAfterUnsure });
+    };
+    std::string missing = turn;
     for (int gap = 0; gap <= mostGaps && RuntimeClock::now() < deadline; ++gap) {
         const auto history = collectHistory(turn, [this](std::string_view id) { return this->findTurn(id); });
         // The newest turn tells whose conversation it is.
         if (!history.turns.empty() && history.turns.back()->workspace != workspace)
-            co_return History(Error { ErrorKind::UnknownTurn, Outcome::NotRun, turn });
+            co_return History(Error { ErrorKind::UnknownTurn, Outcome::NotRun, turn + " of another workspace" });
         if (history.missing.empty())
             co_return History(history.turns);
         this->metrics.count("history_searches");
         SearchDoubts doubts;
         const auto found
             = co_await this->findMissingTurn(executor, this->partitionOf(program), history.missing, deadline, doubts);
+        missing = history.missing;
         if (found == TurnSearch::Unknown)
-            co_return History(Error { ErrorKind::UnknownTurn, Outcome::NotRun, turn });
+            co_return History(Error { ErrorKind::UnknownTurn, Outcome::NotRun, place(missing) });
         if (found == TurnSearch::Unsure)
-            co_return History(unsure);
+            co_return History(unsure(missing, describe(doubts)));
     }
-    co_return History(unsure);
+    co_return History(unsure(missing, "too many gaps or no time left"));
 }
 
 } // namespace peridotramp
--- a/tests/ingress/history.cpp
+++ b/tests/ingress/history.cpp
@@ -26,6 +26,18 @@
     return std::ranges::count_if(peers, [](const auto& peer) { return peer.at("heard").as_bool(); });
 }
 
+// Returns the error with which an instance answers a message, or nothing when it answers otherwise.
+std::optional<Error> errorOf(Deployment& deployment, const Ingress& instance, Message message)
+{
+    RpcClient peer(deployment.runtime, {});
+    auto done = std::make_shared<std::promise<std::optional<Error>>>();
+    peer.call(
+        instance.peerAddress(), std::move(message), Milliseconds(5000), [done](const Result<Message>& answer, bool) {
+            done->set_value(answer ? std::optional<Error>() : answer.error());
+        });
+    return done->get_future().get();
+}
+
 // An instance of another failure domain that is heard from and answers no message, as one that has too little of its
 // processor.
 struct SilentInstance {
@@ -98,3 +110,25 @@
     for (const auto* id : { "t1", "t2", "t3" })
         REQUIRE(deployment.send(*instance, continuation(id, "unknown")).second.status == 503);
 }
+
+// Guards against a refusal whose cause cannot be told from the log of the instance that gave it.
+TEST_CASE("a refusal for want of history names the turn, its partition and the instances that did not answer")
+{
+    Deployment deployment;
+    deployment.publish(1);
+    const auto instance = deployment.startReady("n1");
+    SilentInstance silent(deployment, *instance, "n1");
+    REQUIRE(holdsSoon([&] { return heardPeers(*instance) == 1; }));
+    BeginTurnRequest begin;
+    begin.program = { 4 };
+    begin.workspace = "w";
+    begin.timeLeft = Milliseconds(2000);
+    begin.previousTurn = "t0";
+    const auto error = errorOf(deployment, *instance, begin);
+    REQUIRE(error);
+    REQUIRE(error->kind == ErrorKind::NotReady);
+    using Catch::Matchers::Contains;
+    REQUIRE_THAT(error->detail, Contains("history not at hand: turn t0, partition 0 read to 0"));
+    REQUIRE_THAT(error->detail, Contains("no failure of the store, started"));
+    REQUIRE_THAT(error->detail, Contains("instances not answering: 1 (first silent in b)"));
+}
