Confirm the copy of a turn only when there is room to store it

What callers would see: a turn that was answered whole and is lost. An instance whose writer had no room for a copied turn dropped the record, confirmed the copy all the same, and the turn counted as held in that failure domain, although this instance would never store it nor tell a restarted keeper of it. The copy is now refused, and the answer of the turn waits for the store or ends as not whole.

--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -255,7 +255,17 @@
     } else if (auto* copy = std::get_if<TurnCopy>(&message)) {
         // The sender may be gone before the store is back, so the copy is stored from here, too.
         const auto partition = this->partitionOf(copy->program);
-        this->turnWriter(partition).write({ copy->turn.id, encodeTurn(copy->turn), {} }, nullptr);
+        // Set before the call returns when the record finds no room. The sender must not count such a copy: nobody
+        // would store it.
+        const auto refused = std::make_shared<std::atomic<bool>>(false);
+        this->turnWriter(partition).write({ copy->turn.id, encodeTurn(copy->turn), {} }, [refused](bool stored) {
+            if (!stored)
+                *refused = true;
+        });
+        if (*refused) {
+            reply.send(ErrorMessage { { ErrorKind::Overloaded, Outcome::NotRun, "no room for the turn" } });
+            return;
+        }
         this->addTurn(std::move(copy->turn), partition, copy->keepFor);
         reply.send(DoneMessage {});
     } else if (const auto* request = std::get_if<GiveBackRequest>(&message)) {
--- a/tests/ingress/history.cpp
+++ b/tests/ingress/history.cpp
@@ -38,6 +38,12 @@
     return done->get_future().get();
 }
 
+// A copy of a turn with an output of some size.
+TurnCopy copyOf(const std::string& id, std::size_t bytes)
+{
+    return { { 4 }, { id, {}, "w", "in|", std::string(bytes, 'x') }, Seconds(60) };
+}
+
 // An instance of another failure domain that is heard from and answers no message, as one that has too little of its
 // processor.
 struct SilentInstance {
@@ -132,3 +138,23 @@
     REQUIRE_THAT(error->detail, Contains("no failure of the store, started"));
     REQUIRE_THAT(error->detail, Contains("instances not answering: 1 (first silent in b)"));
 }
+
+// Guards against a turn that is answered whole because of a copy that its holder never stores.
+TEST_CASE("an instance that has no room to store a copied turn does not confirm the copy")
+{
+    Deployment deployment;
+    deployment.publish(1);
+    const auto instance = deployment.startReady("n1");
+    deployment.fake.setMode(FakeStore::Mode::Refusing);
+    constexpr std::size_t copyBytes = std::size_t { 3 } * 1024 * 1024;
+    int confirmed = 0;
+    bool refused = false;
+    for (int index = 0; index < 12 && !refused; ++index) {
+        const auto error = errorOf(deployment, *instance, copyOf("c" + std::to_string(index), copyBytes));
+        refused = error.has_value();
+        confirmed += refused ? 0 : 1;
+    }
+    REQUIRE(refused);
+    deployment.fake.setMode(FakeStore::Mode::Serving);
+    REQUIRE(holdsSoon([&] { return deployment.fake.keys(StoreTopic::Turns) == static_cast<std::size_t>(confirmed); }));
+}
