Hand unstored turns over with their partition

What callers would see: a turn that was answered whole during an outage of the store and is lost when the instances that hold its copies stop as planned, one failure domain after the other. A stopping keeper handed over its reservations only; the new keeper counted the partition as complete and asked nobody for turns, and the turns ended with the process.

A keeper that stops, or whose place a returned instance takes, now sends each turn that the store does not have as a copy to the next keeper, which stores it too. A copy that is not confirmed gives a log line; it is not sent again.

Evidence, before the change: 'a keeper that stops while the store is away hands its unstored turns over': the next keeper did not have the turn within 20 s.

--- a/src/ingress/keepers.cpp
+++ b/src/ingress/keepers.cpp
@@ -25,6 +25,32 @@
 // Whether an error says that the other instance did not answer, rather than what it decided.
 bool isLost(ErrorKind kind) { return kind == ErrorKind::ConnectionFailed || kind == ErrorKind::DeadlineExceeded; }
 
+// Gives the turns of a partition that the store does not have yet to the instance that keeps it next: this instance may
+// stop before the store is back.
+void handOverTurns(Ingress::Impl& impl, StorePartition partition, const FleetMember& keeper)
+{
+    // A copy goes to the partition of its program; this one belongs to the partition itself.
+    const ProgramId program { static_cast<std::uint64_t>(partition.value) };
+    const auto keepFor = impl.longestRetention();
+    std::uint64_t sent = 0;
+    for (const auto& record : impl.turnWriter(partition).waitingRecords()) {
+        auto turn = record.value.empty() ? Result<ConversationTurn>(Error { ErrorKind::UnknownTurn })
+                                         : decodeTurn(record.value);
+        if (!turn)
+            continue;
+        ++sent;
+        impl.fleet.call(keeper.address, TurnCopy { program, std::move(turn.value()), keepFor }, askKeeperLimit,
+            [id = record.key, name = keeper.name](const Result<Message>& answer, bool) {
+                if (!answer)
+                    log(LogLevel::Warning, "turn not handed over",
+                        { { "request", id }, { "keeper", name }, { "reason", answer.error().message() } });
+            });
+    }
+    if (sent > 0)
+        log(LogLevel::Info, "turns handed over",
+            { { "partition", partition.value }, { "keeper", keeper.name }, { "turns", sent } });
+}
+
 } // namespace
 
 StorePartition Ingress::Impl::partitionOf(ProgramId program) const
@@ -92,6 +118,7 @@
     const auto now = RuntimeClock::now();
     std::vector<StorePartition> added;
     std::vector<std::pair<StorePartition, FleetMember>> lost;
+    std::vector<std::pair<StorePartition, FleetMember>> moved;
     {
         const std::scoped_lock lock(this->keptMutex);
         if (names == this->keeperCandidates)
@@ -102,6 +129,8 @@
             const bool keeps = !order.empty() && order.front().name == this->init.name;
             const auto held = this->kept.find(partition);
             if (!keeps && held != this->kept.end()) {
+                if (!order.empty())
+                    moved.emplace_back(partition, order.front());
                 if (held->second.complete && !order.empty())
                     lost.emplace_back(partition, order.front());
                 this->kept.erase(held);
@@ -115,6 +144,8 @@
     // An instance that has just started may not be able to read them.
     for (const auto& [partition, keeper] : lost)
         this->handOver(partition, keeper);
+    for (const auto& [partition, keeper] : moved)
+        handOverTurns(*this, partition, keeper);
     for (const auto partition : added) {
         const auto executor = this->newStrand();
         asio::co_spawn(
--- a/tests/ingress/history.cpp
+++ b/tests/ingress/history.cpp
@@ -44,6 +44,12 @@
     return { { 4 }, { id, {}, "w", "in|", std::string(bytes, 'x') }, Seconds(60) };
 }
 
+bool holds(Deployment& deployment, const Ingress& instance, const std::string& id)
+{
+    return askInstance<HistoryReply>(deployment, instance, HistoryRequest { id, HistoryDepth::Memory }).turns.size()
+        == 1;
+}
+
 // An instance of another failure domain that is heard from and answers no message, as one that has too little of its
 // processor.
 struct SilentInstance {
@@ -158,3 +164,23 @@
     deployment.fake.setMode(FakeStore::Mode::Serving);
     REQUIRE(holdsSoon([&] { return deployment.fake.keys(StoreTopic::Turns) == static_cast<std::size_t>(confirmed); }));
 }
+
+// Guards against unstored turns that end with the planned stop of the keeper that holds them.
+TEST_CASE("a keeper that stops while the store is away hands its unstored turns over")
+{
+    Deployment deployment;
+    deployment.publish(1);
+    const std::vector<std::shared_ptr<Ingress>> instances { deployment.startReady("n1", true, "a"),
+        deployment.startReady("n2", true, "a") };
+    const auto heard = [](const Ingress& instance) {
+        const auto state = boost::json::parse(instance.dump()).as_object();
+        return state.at("peers").as_array().size() == 1 && state.at("peers").as_array()[0].at("heard").as_bool();
+    };
+    for (const auto& instance : instances)
+        REQUIRE(holdsSoon([&] { return heard(*instance); }));
+    deployment.fake.setMode(FakeStore::Mode::Refusing);
+    REQUIRE(!errorOf(deployment, *instances[0], copyOf("c0", 100)));
+    REQUIRE(holds(deployment, *instances[0], "c0"));
+    instances[0]->drain([] { });
+    REQUIRE(holdsSoon([&] { return holds(deployment, *instances[1], "c0"); }));
+}
