--- a/include/peridotramp/fleet.h
+++ b/include/peridotramp/fleet.h
@@ -16,7 +16,8 @@
     Incarnation incarnation;
 };
 
-/// What the owner of a fleet adds to the reports and takes from them. Called on any thread, without a lock.
+/// What the owner of a fleet adds to the reports and takes from them. Called on any thread, without a lock, once the
+/// fleet has started or an instance is announced.
 struct FleetHooks {
     /// Adds what this instance reports.
     std::function<void(InstanceStatus&)> fillStatus;
@@ -51,7 +52,7 @@
     Fleet& operator=(const Fleet&) = delete;
     ~Fleet();
 
-    /// Starts to report.
+    /// Starts to report and to take what other instances send. Until then no hook is called.
     void start();
     /// Sets what this instance says of itself.
     void setState(PeerState state);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -45,7 +45,11 @@
     });
 }
 
-void Fleet::Impl::start() { this->schedule(); }
+void Fleet::Impl::start()
+{
+    this->started = true;
+    this->schedule();
+}
 
 void Fleet::Impl::schedule()
 {
@@ -126,6 +130,8 @@
 
 void Fleet::Impl::receive(std::string_view bytes)
 {
+    if (!this->started)
+        return;
     const auto beacon = decodeBeacon(bytes);
     if (!beacon) {
         if (const auto leftOut = this->ignoredLines.take())
@@ -177,6 +183,10 @@
 
 void Fleet::Impl::handleMessage(Message message, const RpcReply& reply)
 {
+    if (!this->started) {
+        reply.send(ErrorMessage { { ErrorKind::NotReady, Outcome::NotRun, "the instance starts" } });
+        return;
+    }
     if (!std::holds_alternative<MembersRequest>(message)) {
         this->hooks.onMessage(std::move(message), reply);
         return;
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -118,8 +118,9 @@
 constexpr std::size_t readBlockBytes = std::size_t { 8 } * 1024;
 // A caller that sends a byte now and then must not hold a connection for ever.
 constexpr Seconds longestBodyTime { 60 };
-// Time for which the rest of a refused request is read and dropped.
+// Bounds of the rest of a refused request that is read and dropped; a caller may send without end.
 constexpr Milliseconds dropInputTime { 1000 };
+constexpr std::size_t dropInputBytes = std::size_t { 8 } * 1024 * 1024;
 // Time for a caller to take what was written before its response is aborted.
 constexpr Milliseconds abortTime { 300 };
 // Longest part of a path that is reported.
@@ -354,8 +355,9 @@
     boost::system::error_code ignored;
     static_cast<void>(this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored));
     const auto end = RuntimeClock::now() + dropInputTime;
+    const auto mostBytes = this->requestBytes + dropInputBytes;
     auto received = ReadEnd::Bytes;
-    while (received == ReadEnd::Bytes && RuntimeClock::now() < end) {
+    while (received == ReadEnd::Bytes && RuntimeClock::now() < end && this->requestBytes < mostBytes) {
         this->buffer.clear();
         received = co_await this->receive(end - RuntimeClock::now());
     }
