State the answer's time limit in the test of refusals by history

The test was written before the begin of a turn told the two times apart; it set the time that the turn may take, so the search had none. The check is as it was.

--- a/tests/ingress/history.cpp
+++ b/tests/ingress/history.cpp
@@ -134,7 +134,7 @@
     BeginTurnRequest begin;
     begin.program = { 4 };
     begin.workspace = "w";
-    begin.timeLeft = Milliseconds(2000);
+    begin.answerTimeout = Milliseconds(2000);
     begin.previousTurn = "t0";
     const auto error = errorOf(deployment, *instance, begin);
     REQUIRE(error);
