--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -216,12 +216,24 @@
     HistoryDepth depth = HistoryDepth::Memory;
 };
 
+/// What an instance has seen of the metadata store in the longest time for which turns are kept.
+enum class StoreWatch : std::uint8_t {
+    /// A call failed: turns may have been held by instances alone.
+    Failed,
+    /// No call failed since the process started; it cannot know of the time before.
+    SinceStart,
+    /// No call failed in the whole time.
+    Whole,
+    Count
+};
+
 struct HistoryReply {
     /// Turns from the oldest that is held; empty when `turn` is not held.
     std::vector<ConversationTurn> turns;
     /// Whether the instance has read its partitions of the metadata store up to an end that was current after the
     /// question.
-    bool certain = false;
+    bool isRead = false;
+    StoreWatch watch = StoreWatch::Failed;
 };
 
 /// Asks an instance to keep a copy of a turn that the metadata store has not acknowledged.
@@ -242,7 +254,7 @@
     std::optional<TokenCount> budget;
     TokenCount most;
     /// Time for which the asking instance waits for the answer.
-    Milliseconds patience { 0 };
+    Milliseconds answerTimeout { 0 };
     /// Time for which the turn may go on.
     Milliseconds timeLeft { 0 };
     /// Turn whose history is asked for; empty when the asking instance needs none.
@@ -273,6 +285,12 @@
     ProgramId program;
 };
 
+struct GiveBackReply {
+    /// False while a reservation of the answering instance is being confirmed: what it holds then is more than its
+    /// turns need, and is given back later.
+    bool complete = false;
+};
+
 /// Tells the keeper of a program in another failure domain of a reservation that the metadata store has not confirmed.
 struct ReservationCopy {
     TokenReservation reservation;
@@ -463,7 +481,7 @@
     ConfigurationReply, TableQuery, TableReply, HistoryRequest, HistoryReply, TurnCopy, GiveBackRequest,
     BeginTurnRequest, BeginTurnReply, EndTurnNotice, StoreCallRequest, StoreCallReply, LeaseRequest, LeaseReply,
     RoomRequest, RoomReply, MembersRequest, MembersReply, ReservationCopy, ReservationCopyReply, HandoverNotice,
-    StateRequest, StateReply, ReservationsNotice, PartitionRequest, PartitionReply>;
+    StateRequest, StateReply, ReservationsNotice, PartitionRequest, PartitionReply, GiveBackReply>;
 
 /// A message of a request or of its answer.
 struct Frame {
@@ -523,6 +541,8 @@
         std::size_t maxFrameBytes = std::size_t { 4 } * 1024 * 1024;
         /// Unsent bytes of one connection beyond which it is closed.
         std::size_t maxPendingBytes = std::size_t { 64 } * 1024 * 1024;
+        /// Longest pause between the bytes of one frame.
+        Milliseconds frameTimeout { 10'000 };
     };
     using Handler = std::function<void(Message, RpcReply)>;
 
@@ -549,6 +569,8 @@
         Milliseconds connectTimeout { 1000 };
         std::size_t maxFrameBytes = std::size_t { 4 } * 1024 * 1024;
         CutHook isCut {};
+        /// Longest pause between the bytes of one frame.
+        Milliseconds frameTimeout { 10'000 };
     };
     /// Called for each message of the answer, or once with an error. `last` is true in the last call.
     ///
--- a/include/peridotramp/runtime.h
+++ b/include/peridotramp/runtime.h
@@ -97,7 +97,8 @@
     bool write(std::string part) const;
     /// Ends a streamed response.
     void finish() const;
-    /// Closes the connection without a complete response.
+    /// Closes the connection without a complete response. What was written before is sent, unless the caller is slow to
+    /// read it.
     void abort() const;
     /// Returns whether the response has not been sent and the caller is still there, as far as is known.
     bool isActive() const;
@@ -113,12 +114,45 @@
 struct HttpLimits {
     std::size_t maxHeaderBytes = std::size_t { 16 } * 1024;
     std::size_t maxBodyBytes = std::size_t { 8 } * 1024 * 1024;
-    /// Time from the first byte of a request to its last.
+    /// Time from the first byte of a request to the end of its head, and between parts of its body.
     Milliseconds readTimeout { 60'000 };
     /// Time between requests of a connection.
     Milliseconds idleTimeout { 60'000 };
 };
 
+/// A connection that ended without a request, within one, or because its caller did not read.
+struct ConnectionEnd {
+    enum class Reason : std::uint8_t {
+        /// No request came within the idle time.
+        Idle,
+        /// No request had come when the server stopped accepting.
+        Stopping,
+        /// The rest of a request did not come in time; the request was refused.
+        ReadTimeout,
+        /// A request was malformed or too large; it was refused.
+        Refused,
+        /// The caller left before its request was whole.
+        LeftInRequest,
+        /// The caller read its response too slowly.
+        SlowReader,
+        /// The connection was one too many.
+        TooMany,
+        Count
+    };
+
+    Reason reason = Reason::Idle;
+    Address peer {};
+    /// Path of the request, as far as it is known; shortened.
+    std::string path {};
+    /// Bytes of the request that were read.
+    std::size_t requestBytes = 0;
+    /// Time since the first byte of the request.
+    Duration requestAge {};
+};
+
+/// Returns the stable lower-case name of a reason, for example `read_timeout`.
+std::string_view toString(ConnectionEnd::Reason reason);
+
 /// HTTP/1.1 server.
 class HttpServer {
 public:
@@ -130,6 +164,8 @@
         /// Unsent bytes of one response beyond which the caller counts as too slow and is disconnected.
         std::size_t maxPendingBytes = std::size_t { 4 } * 1024 * 1024;
         std::size_t maxConnections = 10'000;
+        /// Called when a connection ends; it must not block.
+        std::function<void(const ConnectionEnd&)> onConnectionEnd = [](const ConnectionEnd&) { };
     };
     using Handler = std::function<void(HttpRequest, HttpExchange)>;
 
@@ -145,7 +181,7 @@
     /// Goes on serving, but closes each connection after its next response, until it is told otherwise.
     void closeAfterResponses(bool enabled);
     /// Stops accepting connections and closes those that wait for a request; the others close after the response to
-    /// their current request.
+    /// their current request. A request that has arrived by then is still served.
     void stopAccepting();
     /// Returns the number of requests that have not been answered completely.
     std::size_t activeExchanges() const;
@@ -158,7 +194,8 @@
 
 /// How an HTTP call ended.
 struct HttpResult {
-    /// `None`, `ConnectionFailed`, `DeadlineExceeded`, `Cancelled` or `EndpointFailed` (malformed response).
+    /// `None`, `ConnectionFailed`, `DeadlineExceeded`, `Cancelled`, `EndpointFailed` (malformed response) or
+    /// `AnswerTooLarge`. A status of a response that did not end with `None` proves nothing.
     ErrorKind error = ErrorKind::None;
     /// Whether a byte of the request may have reached the peer. False proves that the request was not run.
     bool requestWritten = false;
@@ -168,6 +205,9 @@
 struct HttpClientHooks {
     /// Called with the status and headers.
     std::function<void(const HttpResponse&)> onHead {};
+    /// Returns the most bytes that the body of the response with this head may have; unless it is set,
+    /// `HttpClient::Init::maxBodyBytes` holds.
+    std::function<std::size_t(const HttpResponse&)> bodyLimit {};
     /// Called with each part of the body.
     std::function<void(std::string_view)> onBody {};
     /// Called exactly once.
@@ -182,18 +222,28 @@
         std::size_t maxIdleConnections = 32;
         /// Time after which an idle connection is not used again, unless the peer stated a shorter one.
         Milliseconds maxIdle { 4000 };
+        /// Bytes of the head of a response with the interim heads before it. A chunk header and the trailers may take
+        /// a block of the read buffer more.
+        std::size_t maxHeadBytes = std::size_t { 16 } * 1024;
+        /// Bytes of the body of a response. A peer in trouble may send without end.
+        std::size_t maxBodyBytes = std::size_t { 16 } * 1024 * 1024;
     };
     struct Options {
         /// Time for the whole call.
         Milliseconds timeout { 30'000 };
         /// Whether an idle connection may be used. A fresh one tells more surely whether a request was written.
         bool reuseConnection = true;
+        /// Bytes of the body that `onBody` got and that have not been consumed, beyond which nothing more is read; 0
+        /// when `onBody` consumes them itself.
+        std::size_t window = 0;
     };
     /// A running call.
     class Call {
     public:
         /// Closes the connection of the call; `onEnd` reports `Cancelled` unless the call has ended.
         void cancel() const;
+        /// Opens the window of the call by bytes that have been consumed.
+        void consume(std::size_t bytes) const;
 
         struct State;
         std::weak_ptr<State> state;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -45,7 +45,11 @@
     });
 }
 
-void Fleet::Impl::start() { this->schedule(); }
+void Fleet::Impl::start()
+{
+    this->started = true;
+    this->schedule();
+}
 
 void Fleet::Impl::schedule()
 {
@@ -126,9 +130,14 @@
 
 void Fleet::Impl::receive(std::string_view bytes)
 {
+    if (!this->started)
+        return;
     const auto beacon = decodeBeacon(bytes);
     if (!beacon) {
-        log(LogLevel::Warning, "report of an instance ignored", { { "reason", beacon.error().message() } });
+        if (const auto leftOut = this->ignoredLines.take())
+            log(LogLevel::Warning, "report of an instance ignored",
+                { { "reason", beacon.error().message() }, { "bytes", std::uint64_t { bytes.size() } },
+                    { "left_out", *leftOut } });
         return;
     }
     if (const auto* status = std::get_if<InstanceStatus>(&beacon.value()))
@@ -174,6 +183,10 @@
 
 void Fleet::Impl::handleMessage(Message message, const RpcReply& reply)
 {
+    if (!this->started) {
+        reply.send(ErrorMessage { { ErrorKind::NotReady, Outcome::NotRun, "the instance starts" } });
+        return;
+    }
     if (!std::holds_alternative<MembersRequest>(message)) {
         this->hooks.onMessage(std::move(message), reply);
         return;
--- a/src/fleet/fleet_p.h
+++ b/src/fleet/fleet_p.h
@@ -58,6 +58,9 @@
     RpcClient client;
     std::unique_ptr<RpcServer> server {};
     std::unique_ptr<DatagramSocket> socket {};
+    // Until then the owner of the hooks may not be complete; nothing is taken from other instances.
+    std::atomic<bool> started = false;
+    LogLimiter ignoredLines {};
 
     mutable std::mutex mutex {};
     // All below is under the lock.
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -27,13 +27,18 @@
     std::string detail;
     unsigned status = 0;
     int attempts = 0;
+    /// Attempts that may have run at an endpoint.
+    int runs = 0;
+    /// Events that were sent on, and their bytes.
+    std::uint64_t events = 0;
+    std::uint64_t eventBytes = 0;
     std::int64_t version = 0;
     Duration firstByte {};
     Duration total {};
     bool failed = false;
 };
 
-/// Bounds the lines about requests: failures go before successes, and what is left out is counted.
+/// Bounds the lines about requests and connections: failures go before successes, and what is left out is counted.
 class RequestLog {
 public:
     struct Init {
@@ -48,6 +53,8 @@
     }
 
     void write(const RequestOutcome& outcome);
+    /// Counts the end of a connection, and writes a line unless the connection was only idle.
+    void write(const ConnectionEnd& end);
 
 private:
     bool take(bool failed);
@@ -61,6 +68,75 @@
     int leftOut = 0;
 };
 
+/// A request that has been read and has not ended.
+struct RunningRequest {
+    std::string request;
+    std::string route;
+    TimePoint since {};
+    /// Ends it with an answer, because the process ends.
+    std::function<void()> stop;
+};
+
+/// The requests that run. Thread-safe.
+class RunningRequests {
+public:
+    using Key = std::uint64_t;
+
+    Key add(RunningRequest request);
+    void describe(Key key, std::string_view request, std::string_view route);
+    void remove(Key key);
+    std::size_t size() const { return this->count; }
+    /// Returns the oldest requests, at most `most`.
+    std::vector<RunningRequest> oldest(std::size_t most);
+    void stopAll();
+
+private:
+    Sharded<std::map<Key, RunningRequest>> shards;
+    std::atomic<Key> lastKey = 0;
+    std::atomic<std::size_t> count = 0;
+};
+
+/// Moments of a planned stop, counted from its begin.
+struct StopPlan {
+    /// When the balancer has moved on, and idle connections close.
+    Milliseconds closeIdle { 0 };
+    /// When the requests that still run are ended.
+    Milliseconds endRequests { 0 };
+};
+
+/// Divides the grace time.
+StopPlan planStop(Milliseconds grace, Milliseconds balancerDelay);
+
+/// Bytes of one answer that is held until it is complete, and their part of what all such answers take together.
+class HeldAnswer {
+public:
+    explicit HeldAnswer(std::atomic<std::size_t>& total)
+        : total(total)
+    {
+    }
+    HeldAnswer(const HeldAnswer&) = delete;
+    HeldAnswer& operator=(const HeldAnswer&) = delete;
+    ~HeldAnswer() { this->total -= this->bytes.size(); }
+
+    /// Returns how many bytes all answers take with this part.
+    std::size_t append(std::string_view part)
+    {
+        this->bytes += part;
+        return this->total += part.size();
+    }
+    std::size_t size() const { return this->bytes.size(); }
+    /// Returns the complete answer, which is not held any more.
+    std::string take()
+    {
+        this->total -= this->bytes.size();
+        return std::exchange(this->bytes, {});
+    }
+
+private:
+    std::atomic<std::size_t>& total;
+    std::string bytes;
+};
+
 /// Operations on one program's reservation run one after another.
 struct ReservationQueue {
     bool busy = false;
@@ -82,18 +158,49 @@
     Count
 };
 
-/// Sends a message to instances. The mailbox gets one entry for each of them within `limit`: the reply, or nothing when
-/// the instance does not answer or answers otherwise.
+/// What keeps a search for a turn from calling the turn unknown.
+struct SearchDoubts {
+    /// Whether the store's list of the instances has been read.
+    bool membersKnown = false;
+    /// Instances that are not reached or have not answered.
+    std::vector<FleetMember> silent {};
+    /// Instances of the failure domain that have not read their partitions.
+    std::vector<FleetMember> unsure {};
+    /// Partitions that this instance has not read.
+    std::set<StorePartition> unread {};
+    /// Instances of the failure domain whose calls to the store have failed.
+    std::vector<FleetMember> withoutStore {};
+    /// Whether an instance of any failure domain has watched the store for the whole time in which turns are kept.
+    bool watched = false;
+
+    bool none() const
+    {
+        return this->membersKnown && this->silent.empty() && this->unsure.empty() && this->unread.empty()
+            && this->withoutStore.empty() && this->watched;
+    }
+};
+
+/// Sends a message to instances. `onAnswer` gets, for each of them within `limit`, the reply, or nothing when the
+/// instance does not answer or answers otherwise; it is called on any thread.
+template <typename Reply, typename OnAnswer>
+void askMembers(Fleet& fleet, const std::vector<FleetMember>& members, const Message& message, Milliseconds limit,
+    const OnAnswer& onAnswer)
+{
+    for (const auto& member : members)
+        fleet.call(member.address, message, limit, [member, onAnswer](Result<Message> answer, bool) {
+            auto* reply = answer ? std::get_if<Reply>(&answer.value()) : nullptr;
+            onAnswer(member, reply ? std::optional<Reply>(std::move(*reply)) : std::nullopt);
+        });
+}
+
+/// As `askMembers`; the answers go to a mailbox.
 template <typename Reply>
 Mailbox<std::optional<Reply>> askEach(const asio::any_io_executor& executor, Fleet& fleet,
     const std::vector<FleetMember>& members, const Message& message, Milliseconds limit)
 {
     Mailbox<std::optional<Reply>> answers(executor);
-    for (const auto& member : members)
-        fleet.call(member.address, message, limit, [answers](Result<Message> answer, bool) {
-            auto* reply = answer ? std::get_if<Reply>(&answer.value()) : nullptr;
-            answers.push(reply ? std::optional<Reply>(std::move(*reply)) : std::nullopt);
-        });
+    askMembers<Reply>(fleet, members, message, limit,
+        [answers](const FleetMember&, std::optional<Reply> reply) { answers.push(std::move(reply)); });
     return answers;
 }
 
@@ -132,8 +239,15 @@
     void start();
     void drain(std::function<void()> done);
     void finishDrain(const std::function<void()>& done);
-    // Calls done once nothing runs and no turn waits to be written, or at the deadline.
-    void awaitIdle(TimePoint deadline, const std::function<void()>& done);
+    /// Whether nothing runs, all answers have been written, and no turn or reservation waits to be stored.
+    bool isIdle();
+    /// Calls `next` once this instance is idle, or at the deadline.
+    void awaitIdle(TimePoint deadline, std::function<void()> next);
+    /// Ends the requests that still run, each with an answer.
+    void endRequests(const std::function<void()>& done);
+    void finishStop(const std::function<void()>& done);
+    /// Describes the oldest requests that run, for a log line.
+    std::string describeRunning();
     bool isReady();
     std::string dump();
     HttpLimits callerLimits();
@@ -243,16 +357,18 @@
     /// Finds the history up to a turn, wherever it is, or gives the error with which the request is refused.
     asio::awaitable<Result<std::vector<SharedTurn>>> historyOf(
         asio::any_io_executor executor, ProgramId program, std::string turn, std::string workspace, TimePoint deadline);
-    /// Whether turns that callers have received may have been lost: while the store was away they were held only by
-    /// instances that may have failed since. A turn that is not found is then not called unknown.
-    bool mayHaveLostTurns();
-    asio::awaitable<TurnSearch> findMissingTurn(
-        asio::any_io_executor executor, StorePartition partition, std::string turn, TimePoint deadline);
+    /// Turns that callers have received may be lost when the store was away: they were held only by instances that may
+    /// have failed since. A turn that is not found is then not called unknown.
+    StoreWatch storeWatch();
+    /// Looks for a turn wherever it may be; `doubts` says why one that is not found is not called unknown.
+    asio::awaitable<TurnSearch> findMissingTurn(asio::any_io_executor executor, StorePartition partition,
+        std::string turn, TimePoint deadline, SearchDoubts& doubts);
     /// Returns the history as far as this instance holds it whole; empty otherwise.
     std::vector<SharedTurn> heldHistory(std::string_view turn);
-    /// Asks instances for a turn and what it continues; returns whether none has it and all are certain of that.
-    asio::awaitable<bool> askForTurn(asio::any_io_executor executor, std::vector<FleetMember> members, std::string turn,
-        HistoryDepth depth, TimePoint deadline);
+    /// Asks instances for a turn and what it continues, until one has it. Adds those that do not answer or are not
+    /// certain to `doubts`.
+    asio::awaitable<void> askForTurn(asio::any_io_executor executor, std::vector<FleetMember> members, std::string turn,
+        HistoryDepth depth, TimePoint deadline, SearchDoubts& doubts);
     /// Returns the instances that keep a partition's programs in each failure domain, this one left out.
     std::vector<FleetMember> likelyHolders(StorePartition partition);
     /// Returns the partitions whose programs this instance keeps in its failure domain.
@@ -290,7 +406,10 @@
     void advanceReservationCursor(StorePartition partition, Offset next);
     /// Returns whether every other holder has given back what it does not need.
     asio::awaitable<bool> reclaimTokens(asio::any_io_executor executor, ProgramId program, TimePoint deadline);
-    asio::awaitable<void> giveBackTokens(asio::any_io_executor executor, ProgramId program);
+    /// Gives back what no turn of the program needs. Returns false when more will be given back later.
+    asio::awaitable<bool> giveBackTokens(asio::any_io_executor executor, ProgramId program);
+    /// Whether turns that run at other instances still hold tokens of this one.
+    bool hasHolds();
     void settleTokens(ProgramId program, HoldId hold, TokenCount used);
     void applyReservations(const std::vector<StoreRecord>& records);
     /// Says for a log line what this instance knows of a program's budget and who holds how much of it.
@@ -307,6 +426,8 @@
     asio::awaitable<AllowanceLease> grantLease(asio::any_io_executor executor, LeaseRequest request);
 
     // request.cpp
+    /// Counts and logs that a peer sent more than a bound allows.
+    void noteTooLarge(std::string_view peer, std::string_view name, std::string_view part, ByteCount limit);
     void serve(HttpRequest request, const HttpExchange& exchange);
 
     Runtime& runtime;
@@ -317,6 +438,7 @@
     /// Owner name of this process in token reservations.
     std::string owner;
     TimePoint startedAt;
+    TimePoint drainBegan {};
     std::atomic<Milliseconds> grace;
     Metrics metrics {};
     RequestLog requestLog;
@@ -335,13 +457,17 @@
     std::atomic<bool> endpointsKnown = false;
     std::atomic<bool> membersKnown = false;
     std::atomic<bool> draining = false;
+    /// Whether the process is about to end, so that a request that has been read late is refused.
+    std::atomic<bool> ending = false;
     /// Cut off from the store and from all other failure domains.
     std::atomic<bool> isolated = false;
-    std::atomic<std::size_t> runningRequests = 0;
+    RunningRequests running {};
     /// Number of token holds that this process has asked for.
     std::atomic<std::uint64_t> holds = 0;
     /// Turns whose end a keeper has not confirmed yet.
     std::atomic<std::size_t> unreportedTurns = 0;
+    std::atomic<std::size_t> heldAnswerBytes = 0;
+    LogLimiter tooLargeLines {};
 
     AllowanceBook allowances;
     /// By service name.
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -1,6 +1,7 @@
 #include "request_p.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace peridotramp {
 
@@ -30,6 +31,7 @@
     , executor(executor)
     , events(executor)
     , startedAt(RuntimeClock::now())
+    , splitter({ static_cast<std::size_t>(this->ingress->init.eventBytes.value) })
 {
 }
 
@@ -38,6 +40,15 @@
     return std::chrono::duration_cast<Milliseconds>(std::max(Duration(0), this->deadline - now));
 }
 
+TokenCount RequestRun::tokensPerEvent() const
+{
+    const auto* target = this->view->table->service(this->service);
+    const TokenCount one { 1 };
+    return target && target->engine ? std::max(one, target->engine->tokensPerEvent) : one;
+}
+
+TokenCount RequestRun::mostTokens() const { return roundedUp(this->request.mostTokens, this->tokensPerEvent()); }
+
 void RequestRun::refuse(const Error& error)
 {
     if (this->ended)
@@ -62,6 +73,21 @@
     this->exchange.abort();
 }
 
+void RequestRun::stop()
+{
+    constexpr std::string_view reason = "instance stops";
+    if (this->ended)
+        return;
+    if (this->streamStarted)
+        this->abort(reason);
+    else if (this->runs > 0 || this->attemptRuns)
+        this->refuse({ ErrorKind::EndpointFailed, Outcome::Unknown, std::string(reason) });
+    else
+        this->refuse({ ErrorKind::ShuttingDown, Outcome::NotRun, std::string(reason), retryAfterNotReady });
+    // Ends whatever the request waits for, as nobody waits for it any more.
+    this->events.push({ 0, CallerLeft {} });
+}
+
 bool RequestRun::resolve()
 {
     this->view = this->ingress->view();
@@ -79,6 +105,7 @@
     this->route = *found;
     this->service = pickService(*found, serviceHash(this->request));
     this->outcome.route = this->route.name;
+    this->ingress->running.describe(this->runningKey, this->request.id, this->route.name);
     return true;
 }
 
@@ -117,10 +144,8 @@
         if (lacksHistory)
             begin.previousTurn = this->request.previousTurn;
         if (hasBudget) {
-            const auto* target = this->view->table->service(this->service);
-            const auto unit = target && target->engine ? target->engine->tokensPerEvent : TokenCount { 1 };
             begin.budget = this->request.budget;
-            begin.most = roundedUp(this->request.mostTokens, unit);
+            begin.most = this->mostTokens();
             begin.hold = this->ingress->nextHold();
         }
         this->keeper = this->ingress->keeperOf(this->program);
@@ -156,6 +181,7 @@
     this->outcome.request = this->request.id;
     this->outcome.program = this->request.program;
     this->outcome.attempts = this->attempts;
+    this->outcome.runs = this->runs;
     this->outcome.total = RuntimeClock::now() - this->startedAt;
     if (this->callerGone && this->outcome.result.empty())
         this->outcome.result = "caller_left";
@@ -164,13 +190,21 @@
 
 asio::awaitable<void> RequestRun::run([[maybe_unused]] std::shared_ptr<RequestRun> self, HttpRequest http)
 {
-    ++this->ingress->runningRequests;
+    const auto stopLater = [weak = this->weak_from_this(), strand = this->executor] {
+        asio::post(strand, [weak] {
+            if (const auto running = weak.lock())
+                running->stop();
+        });
+    };
+    this->runningKey = this->ingress->running.add({ {}, {}, this->startedAt, stopLater });
     this->exchange.onDisconnect([events = this->events] { events.push({ 0, CallerLeft {} }); });
     auto decoded = this->ingress->formats.decodeCaller(std::move(http));
     if (decoded) {
         this->request = std::move(decoded.value());
         this->lastEvent = this->request.lastEvent;
-        if (this->resolve() && this->authorize()) {
+        if (this->ingress->ending)
+            this->stop();
+        else if (this->resolve() && this->authorize()) {
             const auto longest = this->route.timeout > Milliseconds(0) ? this->route.timeout : longestRequest;
             this->deadline = this->startedAt + std::min(longest, this->request.timeLeft.value_or(longest));
             if (co_await this->beginTurn() && co_await this->admitByAllowance())
@@ -181,7 +215,15 @@
     }
     this->endTurn();
     this->report();
-    --this->ingress->runningRequests;
+    this->ingress->running.remove(this->runningKey);
+}
+
+void Ingress::Impl::noteTooLarge(std::string_view peer, std::string_view name, std::string_view part, ByteCount limit)
+{
+    this->metrics.count(fmt::format("answers_too_large{{peer=\"{}\"}}", peer));
+    if (const auto leftOut = this->tooLargeLines.take())
+        log(LogLevel::Warning, "answer too large",
+            { { "peer", name }, { "part", part }, { "limit_bytes", limit.value }, { "left_out", *leftOut } });
 }
 
 void Ingress::Impl::serve(HttpRequest request, const HttpExchange& exchange)
--- a/src/ingress/request_p.h
+++ b/src/ingress/request_p.h
@@ -60,12 +60,23 @@
     asio::awaitable<AttemptEnd> relayEvents(TimePoint deadline);
     asio::awaitable<AttemptEnd> relayWhole(EndpointHead head, TimePoint deadline);
     asio::awaitable<std::optional<RequestEvent>> nextEvent(TimePoint deadline);
+    // Makes the call to an endpoint; what it sends arrives as events of the current attempt.
+    void startCall(const DispatchChoice& choice);
     bool forwardEvent(const StreamEvent& event);
+    // Returns why no event may follow those that the caller has; empty when one may.
+    std::string_view excessOfStream() const;
+    // Notes that a part of the endpoint's answer exceeds its bound.
+    void noteTooLarge(std::string_view part, ByteCount limit);
+    TokenCount tokensPerEvent() const;
+    // Most tokens that the request may generate, in whole events.
+    TokenCount mostTokens() const;
     asio::awaitable<void> finishStream();
     bool mayRepeat() const;
 
     void refuse(const Error& error);
     void abort(std::string_view reason);
+    // Ends the request with an answer that says what is known, because the process ends.
+    void stop();
     // Tells the keeper of the program how the turn has ended; does so once.
     void endTurn(std::optional<ConversationTurn> turn = std::nullopt);
     void report();
@@ -95,14 +106,19 @@
     int runs = 0;
     int attempts = 0;
     bool offered = false;
+    // Whether an attempt is under way, which may run at its endpoint.
+    bool attemptRuns = false;
     bool callerGone = false;
     bool ended = false;
     EndpointHead streamHead {};
     bool streamStarted = false;
-    EventSplitter splitter {};
+    EventSplitter splitter;
     std::optional<std::string> lastEvent {};
     std::string output {};
     HttpClient::Call call {};
+    RunningRequests::Key runningKey = 0;
+    // Endpoint of the current attempt.
+    std::string endpoint {};
     RequestOutcome outcome {};
 };
 
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <future>
 
 using namespace peridotramp;
 
@@ -167,3 +168,44 @@
     runtime.stop();
     runtime.waitForStop();
 }
+
+// Guards against a process that ends or stays without other instances because one of their reports or requests arrives
+// while it is being built: the hooks then reach members that do not exist yet.
+TEST_CASE("an instance takes nothing from others before it has started")
+{
+    Runtime runtime;
+    runtime.start();
+    std::atomic<int> calls = 0;
+    FleetHooks hooks;
+    hooks.fillStatus = [&](InstanceStatus&) { ++calls; };
+    hooks.onStatus = [&](const InstanceStatus&) { ++calls; };
+    hooks.fillSummary = [&](DomainSummary&) { ++calls; };
+    hooks.onSummary = [&](const DomainSummary&) { ++calls; };
+    hooks.fillDigest = [&](FleetDigest&) { ++calls; };
+    hooks.onDigest = [&](const FleetDigest&) { ++calls; };
+    hooks.onPeriod = [] { };
+    hooks.onMembersChanged = [&] { ++calls; };
+    hooks.onMessage = [&](const Message&, const RpcReply& reply) {
+        ++calls;
+        reply.send(DoneMessage {});
+    };
+    Fleet late(runtime, { { "late", "a", { "127.0.0.1", 0 }, 1 }, { 1 } }, hooks);
+    DatagramSocket sender(runtime, {}, [](std::string_view) { });
+    InstanceStatus status;
+    status.sender = { "other", "a", { "127.0.0.1", 1 }, 1 };
+    sender.send(late.self().address, encodeBeacon(status));
+    RpcClient peer(runtime, {});
+    const auto ask = [&] {
+        std::promise<bool> done;
+        peer.call(late.self().address, GiveBackRequest {}, Seconds(5), [&](const Result<Message>& answer, bool) {
+            done.set_value(answer && std::holds_alternative<DoneMessage>(answer.value()));
+        });
+        return done.get_future().get();
+    };
+    REQUIRE_FALSE(ask());
+    REQUIRE(calls == 0);
+    late.start();
+    REQUIRE(ask());
+    runtime.stop();
+    runtime.waitForStop();
+}
--- /dev/null
+++ b/tests/ingress/history.cpp
@@ -0,0 +1,186 @@
+#include "fixture.h"
+
+#include "peridotramp/fleet.h"
+
+#include <boost/json.hpp>
+
+using namespace peridotramp;
+
+namespace {
+
+// A turn that continues another one, of the program `p1`.
+HttpRequest continuation(const std::string& id, const std::string& previous)
+{
+    auto request = Deployment::request("POST", "/t/x", id);
+    request.headers.push_back({ "Program-Id", "p1" });
+    request.headers.push_back({ "Token-Count", "100,30" });
+    request.headers.push_back({ "Previous-Turn", previous });
+    return request;
+}
+
+// Number of other instances that an instance has heard from.
+std::int64_t heardPeers(const Ingress& instance)
+{
+    const auto state = boost::json::parse(instance.dump()).as_object();
+    const auto& peers = state.at("peers").as_array();
+    return std::ranges::count_if(peers, [](const auto& peer) { return peer.at("heard").as_bool(); });
+}
+
+// Returns the error with which an instance answers a message, or nothing when it answers otherwise.
+std::optional<Error> errorOf(Deployment& deployment, const Ingress& instance, Message message)
+{
+    RpcClient peer(deployment.runtime, {});
+    auto done = std::make_shared<std::promise<std::optional<Error>>>();
+    peer.call(
+        instance.peerAddress(), std::move(message), Milliseconds(5000), [done](const Result<Message>& answer, bool) {
+            done->set_value(answer ? std::optional<Error>() : answer.error());
+        });
+    return done->get_future().get();
+}
+
+// A copy of a turn with an output of some size.
+TurnCopy copyOf(const std::string& id, std::size_t bytes)
+{
+    return { { 4 }, { id, {}, "w", "in|", std::string(bytes, 'x') }, Seconds(60) };
+}
+
+bool holds(Deployment& deployment, const Ingress& instance, const std::string& id)
+{
+    return askInstance<HistoryReply>(deployment, instance, HistoryRequest { id, HistoryDepth::Memory }).turns.size()
+        == 1;
+}
+
+// An instance of another failure domain that is heard from and answers no message, as one that has too little of its
+// processor.
+struct SilentInstance {
+    SilentInstance(Deployment& deployment, const Ingress& other, const std::string& otherName)
+        : fleet(deployment.runtime, { { "silent", "b", { "127.0.0.1", 0 }, 1 }, { 7 } }, this->hooks())
+    {
+        this->fleet.announce({ otherName, "a", other.peerAddress(), 1 });
+        this->fleet.start();
+        deployment.fake.put(StoreTopic::Members, {}, "silent", encodeMember(this->fleet.self()));
+    }
+
+    FleetHooks hooks()
+    {
+        FleetHooks silent;
+        silent.fillStatus = [](InstanceStatus&) { };
+        silent.onStatus = [](const InstanceStatus&) { };
+        silent.fillSummary = [](DomainSummary&) { };
+        silent.onSummary = [](const DomainSummary&) { };
+        silent.fillDigest = [](FleetDigest&) { };
+        silent.onDigest = [](const FleetDigest&) { };
+        silent.onMessage = [this](const Message&, const RpcReply& reply) {
+            const std::scoped_lock lock(this->mutex);
+            this->unanswered.push_back(reply);
+        };
+        silent.onPeriod = [] { };
+        silent.onMembersChanged = [] { };
+        return silent;
+    }
+
+    std::mutex mutex;
+    std::vector<RpcReply> unanswered;
+    Fleet fleet;
+};
+
+} // namespace
+
+// Guards against a kept turn that is called unknown by a process that cannot know whether the store was away before it
+// started: the turn may then have been held only by instances that have failed since.
+TEST_CASE("an instance calls no turn unknown from what it has seen since a restart alone")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    const auto again = deployment.startReady("n1", false);
+    for (const auto* id : { "t1", "t2", "t3" })
+        REQUIRE(deployment.send(*again, continuation(id, "unknown")).second.status == 503);
+}
+
+// Guards against instances that call no turn unknown for a long time after each planned restart.
+TEST_CASE("a restarted instance calls a turn unknown when another one has seen no loss of the store")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    const auto first = deployment.startReady("n1", true, "b");
+    const auto again = deployment.startReady("n2", false, "a");
+    REQUIRE(holdsSoon([&] { return heardPeers(*again) == 1; }));
+    REQUIRE(holdsSoon([&] { return deployment.send(*again, continuation("t1", "unknown")).second.status == 404; }));
+}
+
+// Guards against a kept turn that is called unknown although an instance that may hold the only copy has not answered.
+TEST_CASE("a turn is not called unknown while an instance of another failure domain has not answered")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    const auto instance = deployment.startReady("n1");
+    SilentInstance silent(deployment, *instance, "n1");
+    REQUIRE(holdsSoon([&] { return heardPeers(*instance) == 1; }));
+    for (const auto* id : { "t1", "t2", "t3" })
+        REQUIRE(deployment.send(*instance, continuation(id, "unknown")).second.status == 503);
+}
+
+// Guards against a refusal whose cause cannot be told from the log of the instance that gave it.
+TEST_CASE("a refusal for want of history names the turn, its partition and the instances that did not answer")
+{
+    Deployment deployment;
+    deployment.publish(1);
+    const auto instance = deployment.startReady("n1");
+    SilentInstance silent(deployment, *instance, "n1");
+    REQUIRE(holdsSoon([&] { return heardPeers(*instance) == 1; }));
+    BeginTurnRequest begin;
+    begin.program = { 4 };
+    begin.workspace = "w";
+    begin.answerTimeout = Milliseconds(2000);
+    begin.previousTurn = "t0";
+    const auto error = errorOf(deployment, *instance, begin);
+    REQUIRE(error);
+    REQUIRE(error->kind == ErrorKind::NotReady);
+    using Catch::Matchers::Contains;
+    REQUIRE_THAT(error->detail, Contains("history not at hand: turn t0, partition 0 read to 0"));
+    REQUIRE_THAT(error->detail, Contains("no failure of the store, started"));
+    REQUIRE_THAT(error->detail, Contains("instances not answering: 1 (first silent in b)"));
+}
+
+// Guards against a turn that is answered whole because of a copy that its holder never stores.
+TEST_CASE("an instance that has no room to store a copied turn does not confirm the copy")
+{
+    Deployment deployment;
+    deployment.publish(1);
+    const auto instance = deployment.startReady("n1");
+    deployment.fake.setMode(FakeStore::Mode::Refusing);
+    constexpr std::size_t copyBytes = std::size_t { 3 } * 1024 * 1024;
+    int confirmed = 0;
+    bool refused = false;
+    for (int index = 0; index < 12 && !refused; ++index) {
+        const auto error = errorOf(deployment, *instance, copyOf("c" + std::to_string(index), copyBytes));
+        refused = error.has_value();
+        confirmed += refused ? 0 : 1;
+    }
+    REQUIRE(refused);
+    deployment.fake.setMode(FakeStore::Mode::Serving);
+    REQUIRE(holdsSoon([&] { return deployment.fake.keys(StoreTopic::Turns) == static_cast<std::size_t>(confirmed); }));
+}
+
+// Guards against unstored turns that end with the planned stop of the keeper that holds them.
+TEST_CASE("a keeper that stops while the store is away hands its unstored turns over")
+{
+    Deployment deployment;
+    deployment.publish(1);
+    const std::vector<std::shared_ptr<Ingress>> instances { deployment.startReady("n1", true, "a"),
+        deployment.startReady("n2", true, "a") };
+    const auto heard = [](const Ingress& instance) {
+        const auto state = boost::json::parse(instance.dump()).as_object();
+        return state.at("peers").as_array().size() == 1 && state.at("peers").as_array()[0].at("heard").as_bool();
+    };
+    for (const auto& instance : instances)
+        REQUIRE(holdsSoon([&] { return heard(*instance); }));
+    deployment.fake.setMode(FakeStore::Mode::Refusing);
+    REQUIRE(!errorOf(deployment, *instances[0], copyOf("c0", 100)));
+    REQUIRE(holds(deployment, *instances[0], "c0"));
+    instances[0]->drain([] { });
+    REQUIRE(holdsSoon([&] { return holds(deployment, *instances[1], "c0"); }));
+}
