Keep the pause between the appends of a writer when further records arrive

The instances lose and regain the store 500 times a second from 42 s to the end, although it is not disturbed: it refuses because of their calls.

Cause of a part of it: a writer whose append had failed tried again at once with every new record, so its backoff held only while nothing was written.

Now a record that arrives in a pause waits for its end. What else keeps the store overloaded is open: failed calls go through a peer, too, and each begin of a turn without its keeper reads a partition.

--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -30,6 +30,7 @@
     // Moves records that wait into the empty group, as many as one append takes; called under the lock.
     void fillGroup();
     void finishAppend(bool stored);
+    void endPause();
 
     Runtime& runtime;
     const MetadataStore& store;
@@ -40,6 +41,8 @@
     // Of the records that wait and of the group.
     std::size_t waitingBytes = 0;
     bool appending = false;
+    // Whether an append has failed and the next one waits; a new record does not shorten the wait.
+    bool pausing = false;
     bool stopped = false;
     Milliseconds retry;
 };
@@ -61,7 +64,7 @@
     std::vector<StoreRecord> records;
     {
         const std::scoped_lock lock(this->mutex);
-        if (this->stopped || this->appending || (this->waiting.empty() && this->group.empty()))
+        if (this->stopped || this->appending || this->pausing || (this->waiting.empty() && this->group.empty()))
             return;
         this->appending = true;
         // A group that got no answer is appended again as it was; it would outgrow the largest call of the store.
@@ -88,6 +91,7 @@
         } else {
             // The first retry goes at once: the connection may have been silent while the store is there.
             delay = this->retry;
+            this->pausing = true;
             this->retry = std::min(this->init.mostRetry, std::max(this->init.leastRetry, this->retry * 2));
         }
     }
@@ -98,7 +102,16 @@
     if (stored)
         this->startAppend();
     else
-        this->runtime.after(delay, [self = this->shared_from_this()] { self->startAppend(); });
+        this->runtime.after(delay, [self = this->shared_from_this()] { self->endPause(); });
+}
+
+void StoreWriter::Impl::endPause()
+{
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->pausing = false;
+    }
+    this->startAppend();
 }
 
 StoreWriter::StoreWriter(Runtime& runtime, const MetadataStore& store, Init init)
--- a/tests/store/store.cpp
+++ b/tests/store/store.cpp
@@ -107,6 +107,35 @@
     REQUIRE(most <= 1000);
 }
 
+// Guards against a store that is kept overloaded by its own callers: each new record made the writer try again at once.
+TEST_CASE("records that arrive while the store refuses do not shorten the pause before the next append")
+{
+    Loop loop;
+    MetadataStore counting = loop.store;
+    std::atomic<int> appends = 0;
+    counting.append = [&](StoreTopic topic, StorePartition partition, const std::vector<StoreRecord>& records,
+                          MetadataStore::AppendHook hook) {
+        ++appends;
+        loop.store.append(topic, partition, records, std::move(hook));
+    };
+    StoreWriter::Init init;
+    init.leastRetry = Milliseconds(100);
+    StoreWriter writer(loop.runtime, counting, init);
+    loop.fake.setMode(FakeStore::Mode::Refusing);
+    const auto end = std::chrono::steady_clock::now() + Milliseconds(500);
+    int records = 0;
+    for (; std::chrono::steady_clock::now() < end; ++records) {
+        writer.write({ std::to_string(records), "v", {} }, nullptr);
+        std::this_thread::sleep_for(Milliseconds(5));
+    }
+    // One at once, one more at once, then after 100, 200 and 400 ms.
+    REQUIRE(appends >= 2);
+    REQUIRE(appends <= 5);
+    loop.fake.setMode(FakeStore::Mode::Serving);
+    REQUIRE(holdsSoon([&] { return writer.waiting() == 0; }));
+    REQUIRE(loop.fake.keys(StoreTopic::Turns) == static_cast<std::size_t>(records));
+}
+
 TEST_CASE("a writer refuses what exceeds its memory")
 {
     Loop loop;
