Repeat the end of a turn without the turn, and less often

A report carried the whole turn (17 KB) and was repeated after 500 ms. The turn is stored or copied before its end is reported.

--- a/src/ingress/beginturn.cpp
+++ b/src/ingress/beginturn.cpp
@@ -10,12 +10,14 @@
 constexpr Milliseconds askKeeperLimit { 900 };
 // Time for which turns are held that another instance keeps; a conversation mostly goes on within seconds.
 constexpr Seconds heldCopyLife { 15 };
-constexpr Milliseconds endTurnLimit { 500 };
+// Time for a keeper to take the end of a turn; a keeper that is overloaded must not get more work by short time-outs.
+constexpr Milliseconds endTurnLimit { 1500 };
 // Bounds of the pause before the end of a turn is reported again; it doubles.
 constexpr Milliseconds leastEndTurnPause { 200 };
 constexpr Milliseconds mostEndTurnPause { 1600 };
-// The last report goes out more than ten seconds after the first, when a keeper that was cut off mostly answers again.
-constexpr int endTurnReports = 10;
+// The reports to a keeper that is silent go on for more than ten seconds, when one that was cut off mostly answers
+// again.
+constexpr int endTurnReports = 6;
 
 // Whether an error says that the other instance did not answer, rather than what it decided.
 bool isLost(ErrorKind kind) { return kind == ErrorKind::ConnectionFailed || kind == ErrorKind::DeadlineExceeded; }
@@ -120,8 +122,11 @@
                 return;
             }
             const auto pause = std::min(mostEndTurnPause, leastEndTurnPause * (1 << (report - 1)));
-            impl->runtime.after(
-                pause, [impl, keeper, notice, report] { impl->sendEndTurn(keeper, notice, report + 1); });
+            // The turn itself is stored or copied by now, and is found there.
+            auto again = std::make_shared<const EndTurnNotice>(
+                EndTurnNotice { notice->program, notice->hold, notice->used, std::nullopt, notice->keepFor });
+            impl->runtime.after(pause,
+                [impl, keeper, again = std::move(again), report] { impl->sendEndTurn(keeper, again, report + 1); });
         });
 }
 
