Split the question to the keeper from the begin of a turn; name the lock of a reservation

For readers: asking the keeper, going on without it and withdrawing what it may set aside were one function, and 'turn' stood for the turn of an operation, too.

--- a/src/ingress/beginturn.cpp
+++ b/src/ingress/beginturn.cpp
@@ -22,6 +22,30 @@
 // Whether an error says that the other instance did not answer, rather than what it decided.
 bool isLost(ErrorKind kind) { return kind == ErrorKind::ConnectionFailed || kind == ErrorKind::DeadlineExceeded; }
 
+using BeginTurnResult = Result<BeginTurnReply>;
+
+// Asks the keeper of a program to begin a turn. The error is that of `isLost` when it does not answer in time.
+asio::awaitable<BeginTurnResult> askKeeper(
+    Ingress::Impl& impl, asio::any_io_executor executor, Address keeper, BeginTurnRequest request)
+{
+    const std::function<void(std::function<void(BeginTurnResult)>)> start
+        = [&](std::function<void(BeginTurnResult)> hook) {
+              impl.fleet.call(
+                  keeper, request, request.answerTimeout, [hook = std::move(hook)](Result<Message> answer, bool) {
+                      auto* reply = answer ? std::get_if<BeginTurnReply>(&answer.value()) : nullptr;
+                      if (reply)
+                          hook(std::move(*reply));
+                      else
+                          hook(answer ? Error { ErrorKind::ConnectionFailed } : answer.error());
+                  });
+          };
+    const auto deadline = RuntimeClock::now() + request.answerTimeout;
+    auto answer = co_await resultOf<BeginTurnResult>(executor, deadline, start);
+    if (!answer)
+        co_return BeginTurnResult(Error { ErrorKind::DeadlineExceeded, Outcome::Unknown });
+    co_return std::move(*answer);
+}
+
 } // namespace
 
 // The upper half of the numbers is left out, as the greatest one stands for no hold.
@@ -33,30 +57,16 @@
     const auto deadline = RuntimeClock::now() + request.timeLeft;
     if (keeper) {
         request.answerTimeout = std::min(request.timeLeft, askKeeperLimit);
-        using Answer = Result<BeginTurnReply>;
-        const std::function<void(std::function<void(Answer)>)> start = [&](std::function<void(Answer)> hook) {
-            this->fleet.call(keeper->address, request, request.answerTimeout,
-                [hook = std::move(hook)](Result<Message> answer, bool) {
-                    auto* reply = answer ? std::get_if<BeginTurnReply>(&answer.value()) : nullptr;
-                    if (reply)
-                        hook(std::move(*reply));
-                    else
-                        hook(answer ? Error { ErrorKind::ConnectionFailed } : answer.error());
-                });
-        };
-        auto answer = co_await resultOf<Answer>(executor, deadline, start);
-        const bool answered = answer && (*answer || !isLost(answer->error().kind));
-        if (answered) {
-            if (*answer) {
-                for (auto& turn : answer->value().history)
-                    this->addTurn(std::move(turn), std::nullopt, heldCopyLife);
-            }
-            co_return std::move(*answer);
+        auto answer = co_await askKeeper(*this, executor, keeper->address, request);
+        if (answer) {
+            for (auto& turn : answer.value().history)
+                this->addTurn(std::move(turn), std::nullopt, heldCopyLife);
         }
+        if (answer || !isLost(answer.error().kind))
+            co_return answer;
         this->metrics.count("keepers_unanswered");
         log(LogLevel::Warning, "keeper does not answer",
-            { { "program", request.program }, { "keeper", keeper->name },
-                { "reason", answer ? toString(answer->error().kind) : "deadline of the request" },
+            { { "program", request.program }, { "keeper", keeper->name }, { "reason", toString(answer.error().kind) },
                 { "hold", request.hold } });
         // The keeper may have set tokens aside, or may do so later; nobody uses them.
         if (request.budget)
--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -140,17 +140,17 @@
 
 namespace {
 
-// Holds the turn of one operation on a program's reservation; the next one starts when it is destroyed.
-class ReservationTurn {
+// Lets one operation on a program's reservation run; the next one starts when it is destroyed.
+class ReservationLock {
 public:
-    ReservationTurn(Sharded<TokenShard>& tokens, ProgramId program)
+    ReservationLock(Sharded<TokenShard>& tokens, ProgramId program)
         : tokens(tokens)
         , program(program)
     {
     }
-    ReservationTurn(const ReservationTurn&) = delete;
-    ReservationTurn& operator=(const ReservationTurn&) = delete;
-    ~ReservationTurn()
+    ReservationLock(const ReservationLock&) = delete;
+    ReservationLock& operator=(const ReservationLock&) = delete;
+    ~ReservationLock()
     {
         const auto next = this->tokens.with(this->program.value, [&](TokenShard& shard) -> std::function<void()> {
             const auto found = shard.queues.find(this->program);
@@ -174,7 +174,8 @@
     ProgramId program;
 };
 
-asio::awaitable<void> waitForTurn(asio::any_io_executor executor, Sharded<TokenShard>& tokens, ProgramId program)
+asio::awaitable<void> waitForReservationLock(
+    asio::any_io_executor executor, Sharded<TokenShard>& tokens, ProgramId program)
 {
     const std::function<void(std::function<void(bool)>)> start = [&](const std::function<void(bool)>& hook) {
         const bool now = tokens.with(program.value, [&](TokenShard& shard) {
@@ -385,8 +386,8 @@
     });
     if (admit() == TokenVerdict::Covered)
         co_return Result<ProgramStage>(stage);
-    co_await waitForTurn(executor, this->tokens, program);
-    const ReservationTurn turn(this->tokens, program);
+    co_await waitForReservationLock(executor, this->tokens, program);
+    const ReservationLock reservationLock(this->tokens, program);
     // Whether every holder has given back what it does not need.
     bool reclaimed = false;
     for (int step = 0; step < mostSteps && RuntimeClock::now() < deadline; ++step) {
