--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -200,3 +200,23 @@
     late.deployment.loseStoreCall();
     REQUIRE(holdsSoon([&] { return programs() == 1; }));
 }
+
+// Guards against turns beyond the size of one message that a restarted keeper is never told of.
+TEST_CASE("an instance that starts while the store is away takes all unstored turns, however many")
+{
+    constexpr int count = 20;
+    constexpr std::size_t turnBytes = 200'000;
+    LateDomain late;
+    late.deployment.fake.setMode(FakeStore::Mode::Refusing);
+    const auto idOf = [](int index) { return "c" + std::to_string(index); };
+    for (int index = 0; index < count; ++index)
+        askInstance<DoneMessage>(late.deployment, *late.first,
+            TurnCopy { { 4 }, { idOf(index), {}, "w", "in|", std::string(turnBytes, 'x') }, Seconds(60) });
+    const auto third = late.startThird();
+    int held = 0;
+    for (int index = 0; index < count; ++index) {
+        const HistoryRequest question { idOf(index), HistoryDepth::Memory };
+        held += static_cast<int>(askInstance<HistoryReply>(late.deployment, *third, question).turns.size());
+    }
+    REQUIRE(held == count);
+}
