--- a/src/ingress/beginturn.cpp
+++ b/src/ingress/beginturn.cpp
@@ -119,7 +119,8 @@
     this->sendEndTurn(keeper, std::make_shared<const EndTurnNotice>(std::move(notice)), 1);
 }
 
-void Ingress::Impl::sendEndTurn(const FleetMember& keeper, std::shared_ptr<const EndTurnNotice> notice, int report)
+void Ingress::Impl::sendEndTurn(
+    const FleetMember& keeper, const std::shared_ptr<const EndTurnNotice>& notice, int report)
 {
     this->fleet.call(keeper.address, *notice, endTurnLimit,
         [impl = this->shared_from_this(), keeper, notice, report](const Result<Message>& answer, bool) {
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -334,7 +334,7 @@
     void endTurn(EndTurnNotice notice);
     /// Reports the end of a turn to an instance that may have set its tokens aside, until it answers.
     void reportEndTurn(const FleetMember& keeper, EndTurnNotice notice);
-    void sendEndTurn(const FleetMember& keeper, std::shared_ptr<const EndTurnNotice> notice, int report);
+    void sendEndTurn(const FleetMember& keeper, const std::shared_ptr<const EndTurnNotice>& notice, int report);
 
     // turns.cpp
     void startTurns();
