Hand unstored turns over only when the instance stops

Found in the reading of the merged change: on every change of the keeper an instance sent all turns that wait for the store, up to 24 MB a partition, also when it goes on and stores them itself. While instances are overloaded the membership changes often, so this would add to the overload.

--- a/src/ingress/keepers.cpp
+++ b/src/ingress/keepers.cpp
@@ -139,8 +139,11 @@
     // An instance that has just started may not be able to read them.
     for (const auto& [partition, keeper] : lost)
         this->handOver(partition, keeper);
-    for (const auto& [partition, keeper] : moved)
-        handOverTurns(*this, partition, keeper);
+    // An instance that goes on stores its turns itself; membership changes often while instances are overloaded.
+    if (this->draining) {
+        for (const auto& [partition, keeper] : moved)
+            handOverTurns(*this, partition, keeper);
+    }
     for (const auto partition : added) {
         const auto executor = this->newStrand();
         asio::co_spawn(
