Share the budgeted turn of the tests and the instance's name of a reservation's owner

Found in the last reading of the change: two test files built the same request, and the explanation of a refusal cut the owner's name as the reclaim does. No change of behaviour.

--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -21,6 +21,9 @@
 constexpr Milliseconds storePatience { 40 };
 constexpr Milliseconds confirmLimit { 150 };
 
+// Returns the name of the instance whose incarnation holds a reservation.
+std::string instanceOf(const std::string& owner) { return owner.substr(0, owner.rfind('/')); }
+
 Error storeLost(const std::string& reason = {})
 {
     auto detail = reason.empty() ? "token reservation" : "token reservation: " + reason;
@@ -40,7 +43,7 @@
         account.turnsOverdue, account.reserved.value);
     const auto reachable = this->fleet.reachable();
     for (const auto& other : account.others | std::views::take(mostOwners)) {
-        const auto name = other.owner.substr(0, other.owner.rfind('/'));
+        const auto name = instanceOf(other.owner);
         const bool isReached
             = std::ranges::any_of(reachable, [&](const Peer& peer) { return peer.member.name == name; });
         text += fmt::format("; {} ({}): used {} of {}", other.owner,
@@ -332,7 +335,7 @@
     std::vector<FleetMember> members;
     bool all = true;
     for (const auto& holder : holders) {
-        const auto name = holder.substr(0, holder.rfind('/'));
+        const auto name = instanceOf(holder);
         // An earlier incarnation of this instance cannot give anything back any more.
         if (name == this->init.name)
             continue;
--- a/tests/ingress/budgets.cpp
+++ b/tests/ingress/budgets.cpp
@@ -6,15 +6,6 @@
 
 namespace {
 
-HttpRequest budgetedTurn(const std::string& id, const std::string& program, const std::string& budget)
-{
-    auto request = Deployment::request("POST", "/p/x", id);
-    request.headers.push_back({ "Program-Id", program });
-    request.headers.push_back({ "Token-Count", "100,30" });
-    request.headers.push_back({ "Token-Budget", budget });
-    return request;
-}
-
 // Two instances of one failure domain that have found each other, in the order in which they keep the program `p1`.
 struct KeeperAndOther {
     KeeperAndOther()
--- a/tests/ingress/fixture.h
+++ b/tests/ingress/fixture.h
@@ -187,6 +187,16 @@
     std::vector<std::shared_ptr<Ingress>> instances;
 };
 
+/// Returns a turn of a program that may generate 30 tokens.
+inline HttpRequest budgetedTurn(const std::string& id, const std::string& program, const std::string& budget)
+{
+    auto request = Deployment::request("POST", "/p/x", id);
+    request.headers.push_back({ "Program-Id", program });
+    request.headers.push_back({ "Token-Count", "100,30" });
+    request.headers.push_back({ "Token-Budget", budget });
+    return request;
+}
+
 /// Returns the reply of an instance to a message, or an empty one.
 template <typename Reply> Reply askInstance(Deployment& deployment, const Ingress& instance, Message message)
 {
--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -9,15 +9,6 @@
 
 namespace {
 
-HttpRequest budgetedTurn(const std::string& id, const std::string& program, const std::string& budget)
-{
-    auto request = Deployment::request("POST", "/p/x", id);
-    request.headers.push_back({ "Program-Id", program });
-    request.headers.push_back({ "Token-Count", "100,30" });
-    request.headers.push_back({ "Token-Budget", budget });
-    return request;
-}
-
 // Whether an instance keeps its part of both partitions and knows of all their reservations.
 bool isComplete(const Ingress& instance)
 {
