Take over the unstored turns of a partition in pages

Callers saw: after an instance was replaced while the store was away, conversations whose newest turns were not stored yet went on at other instances only by searches, and were lost when those instances failed, too. Cause: the answer to PartitionRequest contained at most 3 MB of turns, in the order in which they were written, and nobody asked for the rest. Change: TurnPageRequest returns a page of the unstored turns in the order of their keys; the new holder asks each other holder page by page, continues after the last key that it took when an answer is missing or its write queue is full, and takes a turn of two holders once. A writer tells when it has dropped records of a group, and no longer drops those behind the first one that does not fit.

--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -332,7 +332,7 @@
 /// Requests the state of a partition from its holder in another failure domain.
 struct PartitionRequest {
     StorePartition partition;
-    /// Whether to include the turns that have not been stored.
+    /// Whether to include the turns that have not been stored. Use `TurnPageRequest` to get all of them.
     bool withTurns = false;
 };
 
@@ -344,6 +344,19 @@
     std::vector<StateRecord> turns;
 };
 
+/// Requests a page of the turns of a partition that an instance has not stored yet, in the order of their keys.
+struct TurnPageRequest {
+    StorePartition partition;
+    /// Key of the last turn of the previous page; empty for the first page.
+    std::string after;
+};
+
+struct TurnPageReply {
+    std::vector<StateRecord> turns;
+    /// Whether another page follows.
+    bool more = false;
+};
+
 /// Requests a lease on a workspace's allowance from the coordinator of the failure domain.
 struct LeaseRequest {
     NodeId instance;
@@ -491,7 +504,7 @@
     TurnCopy, ReleaseTokensRequest, BeginTurnRequest, BeginTurnReply, EndTurnNotice, StoreCallRequest, StoreCallReply,
     LeaseRequest, LeaseReply, QuotaLoanRequest, QuotaLoanReply, MembersRequest, MembersReply, ReservationCopy,
     ReservationCopyReply, HandoverNotice, StateRequest, StateReply, ReservationsNotice, PartitionRequest,
-    PartitionReply, ReleaseTokensReply>;
+    PartitionReply, ReleaseTokensReply, TurnPageRequest, TurnPageReply>;
 
 /// A request, or a message of its answer.
 struct Frame {
--- a/include/peridotramp/store.h
+++ b/include/peridotramp/store.h
@@ -132,13 +132,16 @@
 
     /// Queues a record. It is appended again after a failed append, so storing it twice must be harmless.
     void write(StoreRecord record, const StoredHook& hook);
-    /// Queues records without a hook, to go into as few appends as possible. Once `maxWaitingBytes` is reached, the
-    /// rest is dropped.
-    void write(std::vector<StoreRecord> records);
+    /// Queues records without a hook, to go into as few appends as possible. Records that would exceed
+    /// `maxWaitingBytes` are dropped. Returns whether all were queued.
+    bool write(std::vector<StoreRecord> records);
     /// Returns the number of records not stored yet.
     std::size_t waiting() const;
     /// Returns the records not stored yet, the oldest first.
     std::vector<StoreRecord> waitingRecords() const;
+    /// Returns the records not stored yet that have a value and a key greater than `after`, in the order of their keys;
+    /// only the first ones of together at most `maxBytes`, but at least one.
+    std::vector<StoreRecord> waitingRecordsAfter(const std::string& after, std::size_t maxBytes) const;
 
     struct Impl;
 
--- a/src/ingress/holders.cpp
+++ b/src/ingress/holders.cpp
@@ -13,10 +13,10 @@
 // Time after the store has become available again in which instances store the copies that they hold for others.
 constexpr Milliseconds storeCatchUpTime { 1500 };
 constexpr Milliseconds loadRetryDelay { 200 };
-// Timeout of a request for a partition from another holder; it may contain some thousand reservations.
+// Timeout of a request for a partition, or for a page of its turns, from another holder.
 constexpr Milliseconds partitionRequestTimeout { 300 };
 // Maximum total size of the turns in one message to another holder, below the limit of a message between instances.
-constexpr std::size_t maxUnstoredTurnBytes = std::size_t { 3 } * 1024 * 1024;
+constexpr std::size_t maxTurnPageBytes = std::size_t { 3 } * 1024 * 1024;
 // Minimum interval between two messages with all reservations that an instance knows. Short enough for two of them
 // within most outages of the store.
 constexpr Milliseconds shareInterval { 2000 };
@@ -161,33 +161,45 @@
 asio::awaitable<void> Ingress::Impl::loadPartition(
     asio::any_io_executor executor, StorePartition partition, TimePoint since)
 {
-    const auto isWanted = [&] {
+    const auto isHeld = [&] {
         const std::scoped_lock lock(this->heldPartitionsMutex);
         const auto found = this->heldPartitions.find(partition);
-        return found != this->heldPartitions.end() && found->second.since == since && !found->second.complete;
+        return found != this->heldPartitions.end() && found->second.since == since;
     };
     co_await sleepFor(executor, membershipSettleTime);
-    // Whether the holders of all other failure domains have sent their unstored turns. They need to do so only once:
-    // later turns are copied to this instance, which is the holder by then.
-    bool hasTurns = false;
-    while (isWanted()) {
-        bool isKnown = false;
-        const bool settled = this->storeHealth.isReachable() && this->storeHealth.timeSinceFailure() > storeCatchUpTime;
-        if (settled)
+    // The holders of the other failure domains send their unstored turns only once: later turns are copied to this
+    // instance, which is the holder by then.
+    TurnTakeover takeover;
+    while (isHeld()) {
+        bool isStoreAvailable
+            = this->storeHealth.isReachable() && this->storeHealth.timeSinceFailure() > storeCatchUpTime;
+        bool isKnown = this->isComplete(partition);
+        if (!isKnown && isStoreAvailable) {
             isKnown = co_await this->loadReservations(executor, partition);
+            isStoreAvailable = isKnown;
+        }
+        // While the store is available, the other holders store their turns themselves.
+        bool hasTurns = isStoreAvailable;
+        if (!hasTurns)
+            hasTurns = co_await this->takeTurnsFromHolders(executor, partition, takeover);
         if (!isKnown)
-            isKnown = co_await this->loadFromHolders(executor, partition, hasTurns);
-        if (isKnown) {
-            const std::scoped_lock lock(this->heldPartitionsMutex);
-            const auto found = this->heldPartitions.find(partition);
-            if (found != this->heldPartitions.end() && found->second.since == since)
-                found->second.complete = true;
+            isKnown = co_await this->loadFromHolders(executor, partition);
+        if (isKnown)
+            this->markComplete(partition, since);
+        if (isKnown && hasTurns)
             co_return;
-        }
         co_await sleepFor(executor, loadRetryDelay);
     }
 }
 
+void Ingress::Impl::markComplete(StorePartition partition, TimePoint since)
+{
+    const std::scoped_lock lock(this->heldPartitionsMutex);
+    const auto found = this->heldPartitions.find(partition);
+    if (found != this->heldPartitions.end() && found->second.since == since)
+        found->second.complete = true;
+}
+
 std::vector<TokenReservation> Ingress::Impl::reservationsOf(StorePartition partition)
 {
     std::vector<TokenReservation> reservations;
@@ -207,54 +219,84 @@
         this->tokens.with(reservation.program.value, [&](TokenShard& shard) { shard.ledger->apply(reservation, now); });
 }
 
-asio::awaitable<bool> Ingress::Impl::loadFromHolders(
-    asio::any_io_executor executor, StorePartition partition, bool& hasTurns)
+asio::awaitable<bool> Ingress::Impl::loadFromHolders(asio::any_io_executor executor, StorePartition partition)
 {
-    const bool withTurns = !hasTurns;
     const auto holders = this->holdersInOtherDomains(partition);
-    if (this->domainWithoutHolder(holders))
+    if (holders.empty() || this->domainWithoutHolder(holders))
         co_return false;
     const auto answers = callEach<PartitionReply>(
-        executor, this->fleet, holders, PartitionRequest { partition, withTurns }, partitionRequestTimeout);
-    bool all = !holders.empty();
-    bool allAnswered = all;
-    // By id, as two failure domains have a copy of each turn.
-    std::map<std::string, std::string> turns;
+        executor, this->fleet, holders, PartitionRequest { partition }, partitionRequestTimeout);
+    bool all = true;
     for (std::size_t index = 0; index < holders.size(); ++index) {
         const auto next = co_await answers.next(RuntimeClock::now() + partitionRequestTimeout);
         const auto answer = next.value_or(std::nullopt);
         all = all && answer && answer->complete;
-        allAnswered = allAnswered && answer;
-        if (!answer)
-            continue;
-        this->applyReservations(answer->reservations);
-        for (const auto& record : answer->turns)
-            turns.emplace(record.key, record.value);
+        if (answer)
+            this->applyReservations(answer->reservations);
     }
-    std::vector<StoreRecord> records;
-    std::ranges::transform(turns, std::back_inserter(records),
-        [](const auto& turn) { return StoreRecord { turn.first, turn.second, {} }; });
-    this->applyTurns(partition, records);
-    this->turnWriter(partition).write(std::move(records));
-    hasTurns = hasTurns || allAnswered;
     co_return all;
 }
 
+asio::awaitable<bool> Ingress::Impl::takeTurnsFromHolders(
+    asio::any_io_executor executor, StorePartition partition, TurnTakeover& takeover)
+{
+    const auto holders = this->holdersInOtherDomains(partition);
+    bool all = !holders.empty() && !this->domainWithoutHolder(holders);
+    for (const auto& holder : holders) {
+        const bool hasTaken = co_await this->takeTurns(executor, partition, holder, takeover);
+        all = all && hasTaken;
+    }
+    co_return all;
+}
+
+asio::awaitable<bool> Ingress::Impl::takeTurns(
+    asio::any_io_executor executor, StorePartition partition, FleetMember holder, TurnTakeover& takeover)
+{
+    auto& progress = takeover.holders[holder.name];
+    while (!progress.done) {
+        const auto answers = callEach<TurnPageReply>(executor, this->fleet, { holder },
+            TurnPageRequest { partition, progress.lastKey }, partitionRequestTimeout);
+        const auto next = co_await answers.next(RuntimeClock::now() + partitionRequestTimeout);
+        const auto page = next.value_or(std::nullopt);
+        if (!page)
+            co_return false;
+        std::vector<StoreRecord> records;
+        for (const auto& turn : page->turns) {
+            // Two failure domains have a copy of each turn.
+            if (!takeover.taken.contains(turn.key))
+                records.push_back({ turn.key, turn.value, {} });
+        }
+        this->applyTurns(partition, records);
+        std::vector<std::string> keys;
+        std::ranges::transform(records, std::back_inserter(keys), &StoreRecord::key);
+        // A full write queue takes the page again later.
+        if (!this->turnWriter(partition).write(std::move(records)))
+            co_return false;
+        std::ranges::move(keys, std::inserter(takeover.taken, takeover.taken.end()));
+        if (!page->turns.empty())
+            progress.lastKey = page->turns.back().key;
+        progress.done = !page->more || page->turns.empty();
+    }
+    co_return true;
+}
+
 PartitionReply Ingress::Impl::describePartition(const PartitionRequest& request)
 {
     PartitionReply reply { this->isComplete(request.partition), this->reservationsOf(request.partition), {} };
-    if (!request.withTurns)
-        return reply;
-    std::size_t bytes = 0;
-    for (auto& record : this->turnWriter(request.partition).waitingRecords()) {
-        // A record without a value deletes an expired turn.
-        if (record.value.empty())
-            continue;
-        bytes += record.value.size();
-        if (bytes > maxUnstoredTurnBytes)
-            break;
+    if (request.withTurns)
+        reply.turns = this->turnPage({ request.partition, {} }).turns;
+    return reply;
+}
+
+TurnPageReply Ingress::Impl::turnPage(const TurnPageRequest& request)
+{
+    auto& writer = this->turnWriter(request.partition);
+    TurnPageReply reply;
+    for (auto& record : writer.waitingRecordsAfter(request.after, maxTurnPageBytes))
         reply.turns.push_back({ std::move(record.key), std::move(record.value) });
-    }
+    // A single record tells whether another page follows.
+    constexpr std::size_t oneRecord = 1;
+    reply.more = !reply.turns.empty() && !writer.waitingRecordsAfter(reply.turns.back().key, oneRecord).empty();
     return reply;
 }
 
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -239,6 +239,19 @@
     bool complete = false;
 };
 
+/// Progress of taking over the turns of a partition that the holders of other failure domains could not store yet.
+struct TurnTakeover {
+    struct Holder {
+        /// Key of the last turn that was taken over.
+        std::string lastKey;
+        bool done = false;
+    };
+    /// By name of the holder.
+    std::map<std::string, Holder> holders;
+    /// Keys of the turns that were taken over.
+    std::set<std::string> taken;
+};
+
 struct Ingress::Impl : std::enable_shared_from_this<Ingress::Impl> {
     Impl(Runtime& runtime, IngressInit init, IngressFormats formats,
         const std::function<MetadataStore(StoreTransport)>& makeStore);
@@ -329,10 +342,19 @@
     void applyHandover(const HandoverNotice& notice);
     std::vector<TokenReservation> reservationsOf(StorePartition partition);
     void applyReservations(const std::vector<TokenReservation>& reservations);
-    /// Loads a partition from the holders of all other failure domains, for an instance that starts while the store is
-    /// unavailable. Returns whether each of them knows the whole partition. Unless `hasTurns`, also requests the turns
-    /// that they could not store yet; sets it when all have answered.
-    asio::awaitable<bool> loadFromHolders(asio::any_io_executor executor, StorePartition partition, bool& hasTurns);
+    /// Records that this instance knows all reservations of a partition that it has held since `since`.
+    void markComplete(StorePartition partition, TimePoint since);
+    /// Loads the reservations of a partition from the holders of all other failure domains, for an instance that starts
+    /// while the store is unavailable. Returns whether each of them knows the whole partition.
+    asio::awaitable<bool> loadFromHolders(asio::any_io_executor executor, StorePartition partition);
+    /// Takes over the turns that the holders of the other failure domains could not store yet. Returns whether each of
+    /// them has sent all of its turns; call it again to continue where it stopped.
+    asio::awaitable<bool> takeTurnsFromHolders(
+        asio::any_io_executor executor, StorePartition partition, TurnTakeover& takeover);
+    /// Takes over the turns of one holder, page by page. Returns whether it has sent all of them.
+    asio::awaitable<bool> takeTurns(
+        asio::any_io_executor executor, StorePartition partition, FleetMember holder, TurnTakeover& takeover);
+    TurnPageReply turnPage(const TurnPageRequest& request);
     PartitionReply describePartition(const PartitionRequest& request);
     /// Sends the reservations that this instance knows to the holders of the other failure domains while the store does
     /// not answer: no other instance knows those that the store confirmed last. Sends at most every two seconds,
--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -289,6 +289,8 @@
         reply.send(DoneMessage {});
     } else if (const auto* wanted = std::get_if<PartitionRequest>(&message)) {
         reply.send(this->describePartition(*wanted));
+    } else if (const auto* page = std::get_if<TurnPageRequest>(&message)) {
+        reply.send(this->turnPage(*page));
     } else if (std::holds_alternative<StateRequest>(message)) {
         reply.send(this->currentState());
     } else if (auto* call = std::get_if<StoreCallRequest>(&message)) {
--- a/src/nodes/messages_p.h
+++ b/src/nodes/messages_p.h
@@ -319,6 +319,16 @@
     archive(message.complete, message.reservations, message.turns);
 }
 
+template <typename Archive> void serialize(Archive& archive, TurnPageRequest& message)
+{
+    archive(message.partition, message.after);
+}
+
+template <typename Archive> void serialize(Archive& archive, TurnPageReply& message)
+{
+    archive(message.turns, message.more);
+}
+
 template <typename Archive> void serialize(Archive&, StateRequest&) { }
 
 template <typename Archive> void serialize(Archive& archive, StateRecord& record) { archive(record.key, record.value); }
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -144,15 +144,15 @@
         hook(false);
 }
 
-void StoreWriter::write(std::vector<StoreRecord> records)
+bool StoreWriter::write(std::vector<StoreRecord> records)
 {
-    for (auto& record : records) {
-        if (!this->impl->add(std::move(record), nullptr)) {
-            log(LogLevel::Warning, "records for the metadata store dropped; write queue is full");
-            break;
-        }
-    }
+    const auto dropped = std::ranges::count_if(
+        records, [&](StoreRecord& record) { return !this->impl->add(std::move(record), nullptr); });
+    if (dropped > 0)
+        log(LogLevel::Warning, "records for the metadata store dropped; write queue is full",
+            { { "dropped", std::int64_t { dropped } } });
     this->impl->startAppend();
+    return dropped == 0;
 }
 
 std::size_t StoreWriter::waiting() const
@@ -161,6 +161,30 @@
     return this->impl->waiting.size() + this->impl->batch.size();
 }
 
+std::vector<StoreRecord> StoreWriter::waitingRecordsAfter(const std::string& after, std::size_t maxBytes) const
+{
+    const std::scoped_lock lock(this->impl->mutex);
+    std::vector<const StoreRecord*> found;
+    const auto collect = [&](const auto& entries) {
+        for (const auto& entry : entries) {
+            if (!entry.record.value.empty() && entry.record.key > after)
+                found.push_back(&entry.record);
+        }
+    };
+    collect(this->impl->batch);
+    collect(this->impl->waiting);
+    std::ranges::sort(found, {}, [](const StoreRecord* record) -> const std::string& { return record->key; });
+    std::size_t bytes = 0;
+    const auto end = std::ranges::find_if(found, [&](const StoreRecord* record) {
+        const bool isFirst = bytes == 0;
+        bytes += sizeOf(*record);
+        return !isFirst && bytes > maxBytes;
+    });
+    std::vector<StoreRecord> page;
+    std::transform(found.begin(), end, std::back_inserter(page), [](const StoreRecord* record) { return *record; });
+    return page;
+}
+
 std::vector<StoreRecord> StoreWriter::waitingRecords() const
 {
     const std::scoped_lock lock(this->impl->mutex);
--- a/tests/store/store.cpp
+++ b/tests/store/store.cpp
@@ -59,6 +59,42 @@
     pool.join();
 }
 
+// Guards against turns that are left out, or sent again and again, when they are handed over in pages.
+TEST_CASE("the records that are not stored yet can be read in pages, ordered by key")
+{
+    Fixture fixture;
+    fixture.fake.setMode(FakeStore::Mode::Refusing);
+    StoreWriter writer(fixture.runtime, fixture.store, {});
+    for (const auto* key : { "d", "a", "c", "b" })
+        writer.write({ key, std::string(100, 'x'), {} }, nullptr);
+    writer.write({ "deleted", {}, {} }, nullptr);
+    const auto keysAfter = [&](const std::string& after, std::size_t maxBytes) {
+        std::string keys;
+        for (const auto& record : writer.waitingRecordsAfter(after, maxBytes))
+            keys += record.key;
+        return keys;
+    };
+    REQUIRE(keysAfter("", 1000) == "abcd");
+    REQUIRE(keysAfter("", 202) == "ab");
+    REQUIRE(keysAfter("b", 202) == "cd");
+    REQUIRE(keysAfter("d", 1000).empty());
+    // A record larger than a page is a page of its own.
+    REQUIRE(keysAfter("a", 1) == "b");
+}
+
+// Guards against records behind a full queue that are dropped without the caller's knowledge.
+TEST_CASE("a writer tells when it has dropped a record of a group")
+{
+    Fixture fixture;
+    fixture.fake.setMode(FakeStore::Mode::Refusing);
+    StoreWriter::Init init;
+    init.maxWaitingBytes = 250;
+    StoreWriter writer(fixture.runtime, fixture.store, init);
+    REQUIRE(writer.write({ { "a", std::string(100, 'x'), {} } }));
+    REQUIRE_FALSE(writer.write({ { "b", std::string(200, 'x'), {} }, { "c", std::string(100, 'x'), {} } }));
+    REQUIRE(writer.waiting() == 2);
+}
+
 // Guards against losing records that were written while the store was unavailable.
 TEST_CASE("a writer stores every record once the store is available again, and calls each hook once")
 {
