Refuse requests whose framing is ambiguous

Callers saw: a request with "Transfer-Encoding: xchunked" was taken as one without a body, and the body ran as a second request (request smuggling). A request with "chunked, gzip" ran before its body was refused as malformed. HTTP/1.1 requests without Host, or with two, were served. Cause: the parser only recognizes "chunked" and ignores other codings. Change: the head is checked before anything of the body is used. A transfer coding other than a single final chunked, one in HTTP/1.0, and a missing, repeated or invalid Host are answered 400; a coding that is not implemented before a final chunked is answered 501. The connection ends and nothing runs.

--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -1,4 +1,4 @@
-#include "runtime_p.h"
+#include "framing_p.h"
 
 #include <deque>
 #include <set>
@@ -317,6 +317,7 @@
 {
     switch (status) {
     case http::status::bad_request:
+    case http::status::not_implemented:
         return ErrorKind::InvalidRequest;
     case http::status::request_timeout:
         return ErrorKind::DeadlineExceeded;
@@ -334,6 +335,8 @@
         return http::status::request_header_fields_too_large;
     if (error == asio::error::timed_out)
         return http::status::request_timeout;
+    if (error == boost::system::errc::not_supported)
+        return http::status::not_implemented;
     if (isParseError(error))
         return http::status::bad_request;
     return std::nullopt;
@@ -427,9 +430,16 @@
 // Reads the rest of the request whose first bytes are in the buffer.
 asio::awaitable<boost::system::error_code> Session::readMessage(HttpLimits limits)
 {
+    bool isHeadChecked = false;
     while (true) {
         boost::system::error_code error;
         this->buffer.consume(this->parser->put(this->buffer.data(), error));
+        // First, as the parser may already have failed on a body that it decodes in the wrong way.
+        if (!isHeadChecked && this->parser->is_header_done()) {
+            if (const auto headError = checkRequestHead(this->parser->get()))
+                co_return headError;
+            isHeadChecked = true;
+        }
         if (error && error != http::error::need_more)
             co_return error;
         if (this->parser->is_done())
