Skip late copies of earlier answers on a connection that is used again

Callers saw: when an endpoint sent a second copy of an answer late, the next call on that connection failed with 502, although the endpoint ran it and answered. A call that an endpoint had rejected was sent again on the same connection: a late copy of the rejection would have been taken for the answer to the second attempt, and the call been sent to a third endpoint while it ran. Change: on a reused connection, up to two answers with another request id are read and discarded, and the connection is closed after the call; on a new one an answer to another request is still a failure at once. A request goes to an endpoint a second time only on a new connection. Answers with another transfer coding than a single final chunked, with a coding in HTTP/1.0 or with two lengths are failures of the endpoint. Result: tests/runtime/answers.cpp and two tests in tests/ingress/calls.cpp.

--- a/include/peridotramp/runtime.h
+++ b/include/peridotramp/runtime.h
@@ -203,6 +203,9 @@
 };
 
 struct HttpClientHooks {
+    /// Returns whether a response with this head answers the request. Others are discarded, as a peer may send a second
+    /// copy of an earlier response on a connection that is reused. When not set, each response counts as the answer.
+    std::function<bool(const HttpResponse&)> isAnswer {};
     /// Called with the status and headers.
     std::function<void(const HttpResponse&)> onHead {};
     /// Returns the maximum size of the body for a response with this head; `HttpClient::Init::maxBodyBytes` applies
--- a/src/ingress/dispatch.cpp
+++ b/src/ingress/dispatch.cpp
@@ -167,9 +167,18 @@
     // Set by `onHead` and read by `bodyLimit`, which the client calls later.
     const auto limit = std::make_shared<std::size_t>(0);
     HttpClientHooks hooks;
+    // A late copy of the endpoint's earlier answer to this request would have its id, too.
+    const bool isRepeated = std::ranges::find(this->attempted, choice.name) != this->attempted.end();
+    options.reuseConnection = !isRepeated;
+    if (!isRepeated)
+        this->attempted.push_back(choice.name);
     hooks.onHead = [events = this->events, number = this->attempts, ingress = this->ingress, limit,
                        isStream = this->route.kind == CallKind::Stream](const HttpResponse& response) {
         auto head = ingress->formats.decodeEndpointHead(response);
+    hooks.isAnswer = [ingress = this->ingress, id = this->request.id](const HttpResponse& response) {
+        const auto answered = ingress->formats.decodeEndpointHead(response).requestId;
+        return answered.empty() || answered == id;
+    };
         if (head.notRun)
             *limit = maxRejectionBytes;
         else if (isStream && isSuccess(head))
--- a/src/ingress/request_p.h
+++ b/src/ingress/request_p.h
@@ -108,6 +108,8 @@
     int runs = 0;
     int attempts = 0;
     // Set by the first attempt. From then on the deadline, not the latency target, limits the wait for an endpoint.
+    // Endpoints to which the request has been sent.
+    std::vector<std::string> attempted {};
     bool wasAttempted = false;
     // Whether an attempt is in progress, which its endpoint may be running.
     bool isAttemptRunning = false;
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -1,4 +1,4 @@
-#include "runtime_p.h"
+#include "framing_p.h"
 
 #include <charconv>
 
@@ -17,6 +17,10 @@
 // Responses with a lower status are interim responses.
 constexpr unsigned firstFinalStatus = 200;
 
+// Responses to earlier requests that one call discards while it waits for its own, and the largest body of one.
+constexpr int maxDiscardedResponses = 2;
+constexpr std::size_t maxDiscardedBodyBytes = std::size_t { 256 } * 1024;
+
 using ResponseParser = http::response_parser<http::buffer_body>;
 
 // Returns whether reading a response was aborted because it exceeds a limit.
@@ -79,8 +83,12 @@
     bool canReuse(const ResponseParser& parser, const beast::flat_buffer& buffer) const;
     asio::awaitable<boost::system::error_code> readHead(
         std::optional<ResponseParser>& parser, beast::flat_buffer& buffer);
+    asio::awaitable<boost::system::error_code> readOwnHead(
+        std::optional<ResponseParser>& parser, beast::flat_buffer& buffer);
+    bool isOwnAnswer(const ResponseParser& parser) const;
     asio::awaitable<boost::system::error_code> readBody(
         ResponseParser& parser, beast::flat_buffer& buffer, std::size_t limit);
+    asio::awaitable<boost::system::error_code> discardBody(ResponseParser& parser, beast::flat_buffer& buffer);
     asio::awaitable<boost::system::error_code> awaitWindow();
     ErrorKind errorKindOf(const boost::system::error_code& error) const;
 
@@ -94,6 +102,10 @@
     HttpResult result {};
     bool keepAlive = false;
     bool requestSent = false;
+    // Whether the connection carried another request before.
+    bool isReused = false;
+    // Number of responses to earlier requests that were discarded.
+    int discarded = 0;
     Milliseconds idleTimeout { 0 };
     std::atomic<bool> cancelled = false;
     // Bytes of the body that were passed to the hook but not consumed yet, for calls with a window.
@@ -179,13 +191,38 @@
         if (status == static_cast<unsigned>(http::status::switching_protocols))
             co_return make_error_code(http::error::bad_status);
         if (status >= firstFinalStatus)
-            co_return boost::system::error_code {};
+            co_return checkResponseHead(parser->get());
         if (bytes >= remainingBytes)
             co_return make_error_code(http::error::header_limit);
         remainingBytes -= bytes;
     }
 }
 
+bool HttpClient::Call::State::isOwnAnswer(const ResponseParser& parser) const
+{
+    return !this->hooks.isAnswer || this->hooks.isAnswer({ parser.get().result_int(), headersOf(parser.get()), {} });
+}
+
+// Reads the head of the response to this request. On a connection that was used before, a peer may send a second copy
+// of an earlier response at the point where this one is expected; it is discarded if its end is known. The last one
+// read counts in any case.
+asio::awaitable<boost::system::error_code> HttpClient::Call::State::readOwnHead(
+    std::optional<ResponseParser>& parser, beast::flat_buffer& buffer)
+{
+    while (true) {
+        const auto headError = co_await this->readHead(parser, buffer);
+        if (headError)
+            co_return headError;
+        const bool mayBeEarlier = this->isReused && this->discarded < maxDiscardedResponses && !parser->need_eof();
+        if (!mayBeEarlier || this->isOwnAnswer(*parser))
+            co_return boost::system::error_code {};
+        const auto bodyError = co_await this->discardBody(*parser, buffer);
+        if (bodyError)
+            co_return bodyError;
+        ++this->discarded;
+    }
+}
+
 // Waits until the unconsumed bytes are fewer than the window. Fails if the call is cancelled meanwhile.
 asio::awaitable<boost::system::error_code> HttpClient::Call::State::awaitWindow()
 {
@@ -227,6 +264,24 @@
     co_return boost::system::error_code {};
 }
 
+asio::awaitable<boost::system::error_code> HttpClient::Call::State::discardBody(
+    ResponseParser& parser, beast::flat_buffer& buffer)
+{
+    std::array<char, std::size_t { 16 } * 1024> block {};
+    std::size_t discardedBytes = 0;
+    while (!parser.is_done()) {
+        parser.get().body().data = block.data();
+        parser.get().body().size = block.size();
+        auto [error, bytes] = co_await http::async_read_some(*this->stream, buffer, parser, asTuple);
+        discardedBytes += block.size() - parser.get().body().size;
+        if (discardedBytes > maxDiscardedBodyBytes)
+            co_return make_error_code(http::error::body_limit);
+        if (error && error != http::error::need_buffer)
+            co_return error;
+    }
+    co_return boost::system::error_code {};
+}
+
 // Runs concurrently with reading the response: a peer may respond before it has read the complete request.
 asio::awaitable<void> HttpClient::Call::State::writeRequest(
     [[maybe_unused]] std::shared_ptr<State> self, http::request<http::string_body> message)
@@ -237,8 +292,9 @@
 
 bool HttpClient::Call::State::canReuse(const ResponseParser& parser, const beast::flat_buffer& buffer) const
 {
-    // Bytes after a complete response belong to no request.
-    return this->requestSent && parser.get().keep_alive() && buffer.size() == 0;
+    // Bytes after a complete response belong to no request, and a peer that has sent one response twice may do so
+    // again.
+    return this->requestSent && this->discarded == 0 && parser.get().keep_alive() && buffer.size() == 0;
 }
 
 asio::awaitable<boost::system::error_code> HttpClient::Call::State::exchange()
@@ -259,7 +315,7 @@
     asio::co_spawn(this->executor, this->writeRequest(this->shared_from_this(), std::move(message)), asio::detached);
     std::optional<ResponseParser> parser;
     beast::flat_buffer buffer(this->client->init.maxHeadBytes + maxReadBytes);
-    const auto headError = co_await this->readHead(parser, buffer);
+    const auto headError = co_await this->readOwnHead(parser, buffer);
     if (headError)
         co_return headError;
     const HttpResponse head { parser->get().result_int(), headersOf(parser->get()), {} };
@@ -342,6 +398,7 @@
     auto state = std::make_shared<Call::State>(this->impl, address, std::move(request), options, std::move(hooks));
     if (options.reuseConnection)
         state->stream = this->impl->takeIdle(address);
+    state->isReused = state->stream != nullptr;
     if (!state->stream)
         state->stream = std::make_unique<beast::tcp_stream>(asio::make_strand(this->impl->context));
     state->executor = state->stream->get_executor();
--- a/tests/ingress/calls.cpp
+++ b/tests/ingress/calls.cpp
@@ -1,3 +1,4 @@
+#include "../scriptedserver.h"
 #include "fixture.h"
 #include "peridotramp/nodes.h"
 
@@ -114,6 +115,53 @@
     REQUIRE(response.body.find("not yours") == std::string::npos);
 }
 
+namespace {
+
+std::string rawAnswer(const std::string& id, const std::string& statusLine, const std::string& body)
+{
+    return fmt::format("HTTP/1.1 {}\r\nRequest-Id: {}\r\nServer-Seal: s\r\n{}Content-Length: {}\r\n\r\n{}", statusLine,
+        id, statusLine.starts_with("503") ? "Not-Run: 1\r\n" : "", body.size(), body);
+}
+
+} // namespace
+
+// Guards against a call with side effects that fails because the endpoint repeats an earlier answer on the connection.
+TEST_CASE("a call is answered although a late copy of an earlier answer comes first")
+{
+    Deployment deployment;
+    ScriptedServer endpoint([](const ScriptedServer::Request& request) {
+        const auto id = request.header("Request-Id");
+        return (request.index == 1 ? rawAnswer("q1", "200 OK", "first") : std::string())
+            + rawAnswer(id, "200 OK", "answer to " + id);
+    });
+    deployment.fakeStore.put(StoreTopic::Endpoints, {}, "i-1", endpointRecord("desk", endpoint.address()));
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    REQUIRE(deployment.send(*ingress, Deployment::request("POST", "/w/x", "q1")).second.body == "answer to q1");
+    const auto second = deployment.send(*ingress, Deployment::request("POST", "/w/x", "q2")).second;
+    REQUIRE(second.status == 200);
+    REQUIRE(second.body == "answer to q2");
+    REQUIRE(endpoint.requests().back().connection == 0);
+}
+
+// Guards against a late copy of a rejection that is taken as the answer to the next attempt of the same call, which is
+// then sent to a further endpoint although it runs.
+TEST_CASE("a rejected call is not sent again on the connection of the rejection")
+{
+    Deployment deployment;
+    ScriptedServer endpoint([](const ScriptedServer::Request& request) {
+        const auto id = request.header("Request-Id");
+        return request.connection == 0 ? rawAnswer(id, "503 Service Unavailable", "") : rawAnswer(id, "200 OK", "done");
+    });
+    deployment.fakeStore.put(StoreTopic::Endpoints, {}, "i-1", endpointRecord("desk", endpoint.address()));
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    REQUIRE(deployment.send(*ingress, Deployment::request("POST", "/w/x", "q1")).second.status == 200);
+    const auto seen = endpoint.requests();
+    REQUIRE(seen.size() == 2);
+    REQUIRE(seen[1].connection != seen[0].connection);
+}
+
 // Guards against requests that keep running at endpoints after their callers have disconnected.
 TEST_CASE("when a caller disconnects, its request is cancelled at the endpoint")
 {
--- /dev/null
+++ b/tests/runtime/answers.cpp
@@ -0,0 +1,110 @@
+#include "../scriptedserver.h"
+#include "peridotramp/runtime.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace peridotramp;
+
+namespace {
+
+constexpr Milliseconds answerLimit { 3000 };
+
+struct Answer {
+    HttpResult result;
+    HttpResponse response;
+};
+
+struct Caller {
+    Runtime runtime { { 2 } };
+    HttpClient client { this->runtime };
+
+    Caller() { this->runtime.start(); }
+
+    // Accepts only a response with the request's id.
+    Answer fetch(const Address& address, const std::string& id, Milliseconds timeout = answerLimit)
+    {
+        std::promise<Answer> promise;
+        auto response = std::make_shared<HttpResponse>(HttpResponse { 0 });
+        HttpClientHooks hooks;
+        hooks.isAnswer
+            = [id](const HttpResponse& head) { return HttpRequest { {}, {}, head.headers, {} }.header("Id") == id; };
+        hooks.onHead = [response](const HttpResponse& head) { *response = head; };
+        hooks.onBody = [response](std::string_view part) { response->body.append(part); };
+        hooks.onEnd = [&](HttpResult result) { promise.set_value({ result, *response }); };
+        this->client.stream(address, { "GET", "/", { { "Id", id } }, {} }, { timeout }, std::move(hooks));
+        return promise.get_future().get();
+    }
+};
+
+std::string responseTo(const std::string& id, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+// Guards against a body in an unknown transfer coding that is passed on as the answer.
+TEST_CASE("a response with another transfer coding than a single final chunked is a failure of the endpoint")
+{
+    const auto errorOf = [](const std::string& framing) {
+        Caller caller;
+        ScriptedServer server([&](const ScriptedServer::Request&) {
+            return "HTTP/1.1 200 OK\r\nId: a\r\n" + framing + "\r\n\r\n2\r\nab\r\n0\r\n\r\n";
+        });
+        INFO(framing);
+        return caller.fetch(server.address(), "a").result.error;
+    };
+    REQUIRE(errorOf("Transfer-Encoding: chunked") == ErrorKind::None);
+    REQUIRE(errorOf("Transfer-Encoding: xchunked") == ErrorKind::EndpointFailed);
+    REQUIRE(errorOf("Transfer-Encoding: chunked, gzip") == ErrorKind::EndpointFailed);
+    REQUIRE(errorOf("Transfer-Encoding: gzip, chunked") == ErrorKind::EndpointFailed);
+    REQUIRE(errorOf("Transfer-Encoding: chunked\r\nContent-Length: 2") == ErrorKind::EndpointFailed);
+    REQUIRE(errorOf("Content-Length: 2\r\nContent-Length: 3") == ErrorKind::EndpointFailed);
+}
+
+// Guards against a late second copy of an answer that fails, or is passed on to, the next request on its connection.
+TEST_CASE("a late copy of an earlier response is skipped, and its connection is not used again")
+{
+    Caller caller;
+    ScriptedServer server([](const ScriptedServer::Request& request) {
+        const auto id = request.header("Id");
+        const bool isSecond = request.connection == 0 && request.index == 1;
+        return (isSecond ? responseTo("a", "first") : std::string()) + responseTo(id, "body of " + id);
+    });
+    REQUIRE(caller.fetch(server.address(), "a").response.body == "body of a");
+    const auto second = caller.fetch(server.address(), "b");
+    REQUIRE(second.result.error == ErrorKind::None);
+    REQUIRE(second.response.body == "body of b");
+    REQUIRE(caller.fetch(server.address(), "c").response.body == "body of c");
+    const auto seen = server.requests();
+    REQUIRE(seen.size() == 3);
+    REQUIRE(seen[1].connection == 0);
+    REQUIRE(seen[2].connection == 1);
+}
+
+// Guards against waiting for another answer where none can have been sent before.
+TEST_CASE("a response to another request is passed on when the connection is new")
+{
+    Caller caller;
+    ScriptedServer server([](const ScriptedServer::Request&) { return responseTo("other", "x"); });
+    const auto answer = caller.fetch(server.address(), "a");
+    REQUIRE(answer.result.error == ErrorKind::None);
+    REQUIRE(answer.response.headers.front().value == "other");
+}
+
+// Guards against a call that reads copies of earlier responses without end.
+TEST_CASE("a call skips only a few copies of earlier responses")
+{
+    Caller caller;
+    ScriptedServer server([](const ScriptedServer::Request& request) {
+        std::string copies;
+        for (int copy = 0; copy < 10; ++copy)
+            copies += responseTo("a", "first");
+        return request.index == 0 ? responseTo("a", "first") : copies;
+    });
+    REQUIRE(caller.fetch(server.address(), "a").response.body == "first");
+    const auto second = caller.fetch(server.address(), "b");
+    REQUIRE(second.result.error == ErrorKind::None);
+    REQUIRE(second.response.headers.front().value == "a");
+}
