Prefer endpoints that have handled a request's object

Cause: requests for one object carry the same Affinity-Key, and on sticky routes an endpoint that has handled the object recently works faster; neither was read. Change: the key is decoded at the adapter. The cost of an endpoint of a plain service falls by a fixed gain if this instance has sent it a request for the object in the last 30 s, and depends slightly on a hash of endpoint and object, so that all instances prefer the same endpoint among equally loaded ones. Load, failures, drains and cold starts weigh more. Objects are kept per endpoint in bounded number and forgotten when it restarts.

--- a/include/peridotramp/dispatch.h
+++ b/include/peridotramp/dispatch.h
@@ -17,6 +17,13 @@
     TokenCount tokens;
 };
 
+/// Returns the number of tokens of a prompt.
+TokenCount tokensOf(const std::vector<PromptPart>& prompt);
+
+/// An object on which requests operate, for example a document. An endpoint that has handled an object recently handles
+/// further requests for it faster.
+using ObjectId = Id<struct ObjectTag>;
+
 /// An endpoint as the metadata store lists it.
 struct EndpointRecord {
     /// Instance id of the endpoint; it usually changes when the endpoint restarts.
@@ -43,6 +50,8 @@
     std::string service;
     /// Parts of the prompt in order; empty for plain services.
     std::vector<PromptPart> prompt;
+    /// Object that the request concerns, if its route has session affinity.
+    std::optional<ObjectId> object;
     /// Endpoints that may not be used again for this request.
     std::vector<std::string> excluded;
     /// Returns whether endpoints of a failure domain may serve the request.
@@ -105,6 +114,11 @@
     double engineLoadMs = 8;
     /// Expected wait for each request beyond the slots of a plain service.
     double serviceLoadMs = 40;
+    /// Maximum part of the cost that depends on the hash of endpoint and object. It is less than one request in
+    /// progress, so that requests for an object meet at one endpoint only among equally loaded ones.
+    double objectDistanceMs = 1.5;
+    /// Time that an endpoint saves on an object that it has handled recently.
+    double objectGainMs = 10;
     /// Round trip to another failure domain, including the transfer of the request.
     double otherDomainMs = 6;
     /// Added for each recent failure of an endpoint.
@@ -126,6 +140,11 @@
     double recentFailures = 0;
     /// Sequence number of the last choice that selected this endpoint.
     std::uint64_t lastChoice = 0;
+    /// Whether the endpoint has handled the request's object recently, as far as this instance knows.
+    bool handledObject = false;
+    /// Hash of the endpoint and the request's object, from 0 to 1; 0 without an object. All instances calculate the
+    /// same value.
+    double objectDistance = 0;
 };
 /// Returns the cost of sending a request to an endpoint; the endpoint with the lowest cost is chosen.
 using EndpointCostHook = std::function<double(const EndpointCostView&)>;
@@ -146,6 +165,9 @@
         /// Time after its last use for which a prompt part counts as cached.
         Seconds cacheAge { 60 };
         std::size_t maxPartsPerEndpoint = 2000;
+        /// Time after a request for an object for which its endpoint counts as having handled the object recently.
+        Seconds objectAge { 30 };
+        std::size_t maxObjectsPerEndpoint = 256;
     };
 
     explicit EndpointDirectory(Init init);
@@ -193,6 +215,8 @@
         double bucketLevel = 1;
         TimePoint bucketUpdatedAt;
         std::map<PromptPartId, TimePoint> cachedParts;
+        // Objects and when this instance last sent a request for them to the endpoint.
+        std::map<ObjectId, TimePoint> objects;
     };
     struct ServiceSettings {
         std::int32_t maxConnections = 0;
@@ -203,6 +227,8 @@
     bool isEligible(Endpoint& endpoint, const DispatchRequest& request, TimePoint now);
     bool coldRateAllows(Endpoint& endpoint, TimePoint now);
     TokenCount cachedTokens(const Endpoint& endpoint, const std::vector<PromptPart>& prompt, TimePoint now) const;
+    bool handledRecently(const Endpoint& endpoint, ObjectId object, TimePoint now) const;
+    void rememberObject(Endpoint& endpoint, ObjectId object, TimePoint now) const;
     double costOf(const Endpoint& endpoint, const DispatchRequest& request, TimePoint now);
     const ServiceSettings& settingsOf(const std::string& service);
 
--- a/include/peridotramp/ingress.h
+++ b/include/peridotramp/ingress.h
@@ -23,6 +23,8 @@
     /// Id of the last event that the caller received of an interrupted stream.
     std::optional<std::string> lastEventId;
     std::vector<PromptPart> prompt;
+    /// Object that the request concerns; empty when it names none.
+    std::optional<ObjectId> object;
     /// Maximum number of tokens that the request may generate; 0 when it states none.
     TokenCount maxTokens;
     /// Empty when the request belongs to no program.
--- a/include/peridotramp/routing.h
+++ b/include/peridotramp/routing.h
@@ -42,6 +42,8 @@
     bool isPublic = false;
     /// Whether a broken stream may be resumed at another endpoint.
     bool resumable = false;
+    /// Whether endpoints handle a request faster if they have recently handled one for the same object.
+    bool hasAffinity = false;
     /// Regions whose endpoints may serve the route; empty for all.
     std::vector<std::string> regions;
 };
--- a/src/decisions/dispatch/dispatch.cpp
+++ b/src/decisions/dispatch/dispatch.cpp
@@ -18,6 +18,15 @@
     return value * std::exp2(-std::chrono::duration<double>(age).count() / failureHalfLifeSeconds);
 }
 
+// Rendezvous hash of an endpoint and an object, from 0 to 1.
+double objectDistanceOf(EndpointId endpoint, ObjectId object)
+{
+    constexpr std::uint64_t multiplier = 0x9E3779B97F4A7C15;
+    auto mixed = (endpoint.value ^ (object.value * multiplier)) * multiplier;
+    mixed = (mixed ^ (mixed >> 32U)) * multiplier;
+    return std::ldexp(static_cast<double>(mixed >> 11U), -53);
+}
+
 } // namespace
 
 Duration removalDelay(Duration sinceStoreFailure)
@@ -43,6 +52,7 @@
 }
 
 EndpointCostHook roundRobinCost()
+            cost += view.objectDistance * weights.objectDistanceMs - (view.handledObject ? weights.objectGainMs : 0);
 {
     return [](const EndpointCostView& view) { return static_cast<double>(view.lastChoice); };
 }
@@ -69,6 +79,8 @@
     endpoint.id = idFromName<EndpointId>(record.name);
     endpoint.coldUntil = now + record.coldLeft;
     return changed;
+        endpoint.objects.clear();
+    }
 }
 
 bool EndpointDirectory::remove(std::string_view name)
@@ -157,6 +169,21 @@
         [](TokenCount sum, const PromptPart& part) { return sum + part.tokens; });
     EndpointCostView view;
     view.engine = this->settingsOf(endpoint.record.service).engine;
+bool EndpointDirectory::handledRecently(const Endpoint& endpoint, ObjectId object, TimePoint now) const
+{
+    const auto found = endpoint.objects.find(object);
+    return found != endpoint.objects.end() && now - found->second <= this->init.objectAge;
+}
+
+void EndpointDirectory::rememberObject(Endpoint& endpoint, ObjectId object, TimePoint now) const
+{
+    endpoint.objects[object] = now;
+    if (endpoint.objects.size() <= this->init.maxObjectsPerEndpoint)
+        return;
+    const auto oldest = std::ranges::min_element(endpoint.objects, {}, [](const auto& entry) { return entry.second; });
+    endpoint.objects.erase(oldest);
+}
+
     view.sameDomain = endpoint.record.domain == this->init.ownDomain;
     view.domainUnreachable = this->unreachableDomains.contains(endpoint.record.domain);
     view.slots = endpoint.record.slots;
@@ -168,6 +195,10 @@
 }
 
 std::optional<DispatchChoice> EndpointDirectory::choose(const DispatchRequest& request, TimePoint now)
+    if (request.object) {
+        view.handledObject = this->handledRecently(endpoint, *request.object, now);
+        view.objectDistance = objectDistanceOf(endpoint.id, *request.object);
+    }
 {
     ++this->choices;
     Endpoint* best = nullptr;
@@ -199,6 +230,8 @@
 }
 
 void EndpointDirectory::finish(
+    if (request.object)
+        this->rememberObject(*best, *request.object, now);
     const DispatchChoice& choice, DispatchResult result, const std::vector<PromptPart>& prompt, TimePoint now)
 {
     const auto found = this->endpoints.find(choice.name);
--- a/src/ingress/dispatch.cpp
+++ b/src/ingress/dispatch.cpp
@@ -47,6 +47,8 @@
     DispatchRequest wanted;
     wanted.service = this->service;
     wanted.prompt = this->request.prompt;
+    if (this->route.hasAffinity)
+        wanted.object = this->request.object;
     wanted.excluded = this->excluded;
     wanted.domainAllowed = [current = this->routing, route = &this->route, workspace = &this->workspace,
                                regions = &this->ingress->init.regions](std::string_view domain) {
--- a/tests/adapter/adapter.cpp
+++ b/tests/adapter/adapter.cpp
@@ -16,7 +16,7 @@
             { "Token-Count", "1840,575" }, { "Prompt-Prefix", "5c1e:800,91bd:410" }, { "Previous-Turn", "xyz" },
             { "Deadline-Ms", "3000" }, { "authorization", "Bearer secret" }, { "Tenant", "forged" }, { "Pin-Ms", "9" },
             { "Hold", "h" }, { "Kv-From", "1.2.3.4:5/6" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" },
-            { "X-Other", "kept" } },
+            { "X-Other", "kept" }, { "Affinity-Key", "17" } },
         "body" };
 }
 
@@ -47,6 +47,17 @@
     REQUIRE(request->timeLeft == Milliseconds(3000));
     REQUIRE(request->apiKey == "secret");
     REQUIRE(request->target == "/lohu/4b?x=1");
+    REQUIRE(request->object == idFromName<ObjectId>("17"));
+}
+
+// Guards against endpoints that cannot recognize an object, because its key is removed on the way.
+TEST_CASE("the key of a request's object is forwarded, and an empty one names no object")
+{
+    auto http = turnRequest();
+    const auto sent = formats.encodeForEndpoint(*formats.decodeCaller(http), {});
+    REQUIRE(headerValue(sent, "Affinity-Key") == "17");
+    http.headers.back().value.clear();
+    REQUIRE_FALSE(formats.decodeCaller(http)->object);
 }
 
 // Guards against forwarding an API key, a forged identity or a header that only the system may set.
