Log where a request waited, by cause

Change: the line of a request states its waits for the history and tokens of the turn, for the allowance and for an endpoint, and the tokens of its prompt that its endpoint had to read. Late requests could not be attributed before.

--- a/src/decisions/dispatch/dispatch.cpp
+++ b/src/decisions/dispatch/dispatch.cpp
@@ -29,6 +29,12 @@
 
 } // namespace
 
+TokenCount tokensOf(const std::vector<PromptPart>& prompt)
+{
+    return std::accumulate(prompt.begin(), prompt.end(), TokenCount {},
+        [](TokenCount sum, const PromptPart& part) { return sum + part.tokens; });
+}
+
 Duration removalDelay(Duration sinceStoreFailure)
 {
     return std::max(Duration(0), recordRenewalTime - sinceStoreFailure);
@@ -46,13 +52,13 @@
             cost += view.outstanding * weights.engineLoadMs + over * weights.engineLoadMs * 4;
         } else {
             cost += view.outstanding * 2.0 + over * weights.serviceLoadMs;
+            cost += view.objectDistance * weights.objectDistanceMs - (view.handledObject ? weights.objectGainMs : 0);
         }
         return cost;
     };
 }
 
 EndpointCostHook roundRobinCost()
-            cost += view.objectDistance * weights.objectDistanceMs - (view.handledObject ? weights.objectGainMs : 0);
 {
     return [](const EndpointCostView& view) { return static_cast<double>(view.lastChoice); };
 }
@@ -71,16 +77,16 @@
         || (record.startedAt == known.startedAt && !known.name.empty() && record.sequence < known.sequence);
     if (stale)
         return false;
-    if (restarted)
+    if (restarted) {
         endpoint.cachedParts.clear();
+        endpoint.objects.clear();
+    }
     const bool changed = known.service != record.service || known.address != record.address
         || known.draining != record.draining || restarted;
     known = record;
     endpoint.id = idFromName<EndpointId>(record.name);
     endpoint.coldUntil = now + record.coldLeft;
     return changed;
-        endpoint.objects.clear();
-    }
 }
 
 bool EndpointDirectory::remove(std::string_view name)
@@ -163,12 +169,6 @@
     return cached;
 }
 
-double EndpointDirectory::costOf(const Endpoint& endpoint, const DispatchRequest& request, TimePoint now)
-{
-    const auto total = std::accumulate(request.prompt.begin(), request.prompt.end(), TokenCount {},
-        [](TokenCount sum, const PromptPart& part) { return sum + part.tokens; });
-    EndpointCostView view;
-    view.engine = this->settingsOf(endpoint.record.service).engine;
 bool EndpointDirectory::handledRecently(const Endpoint& endpoint, ObjectId object, TimePoint now) const
 {
     const auto found = endpoint.objects.find(object);
@@ -184,21 +184,25 @@
     endpoint.objects.erase(oldest);
 }
 
+double EndpointDirectory::costOf(const Endpoint& endpoint, const DispatchRequest& request, TimePoint now)
+{
+    EndpointCostView view;
+    view.engine = this->settingsOf(endpoint.record.service).engine;
     view.sameDomain = endpoint.record.domain == this->init.ownDomain;
     view.domainUnreachable = this->unreachableDomains.contains(endpoint.record.domain);
     view.slots = endpoint.record.slots;
     view.outstanding = endpoint.outstanding + endpoint.outstandingElsewhere;
-    view.uncached = total - this->cachedTokens(endpoint, request.prompt, now);
+    view.uncached = tokensOf(request.prompt) - this->cachedTokens(endpoint, request.prompt, now);
     view.recentFailures = decayed(endpoint.failures, now - endpoint.failedAt);
     view.lastChoice = endpoint.lastChoice;
-    return this->init.cost(view);
-}
-
-std::optional<DispatchChoice> EndpointDirectory::choose(const DispatchRequest& request, TimePoint now)
     if (request.object) {
         view.handledObject = this->handledRecently(endpoint, *request.object, now);
         view.objectDistance = objectDistanceOf(endpoint.id, *request.object);
     }
+    return this->init.cost(view);
+}
+
+std::optional<DispatchChoice> EndpointDirectory::choose(const DispatchRequest& request, TimePoint now)
 {
     ++this->choices;
     Endpoint* best = nullptr;
@@ -226,12 +230,12 @@
         best->bucketLevel -= 1;
     for (const auto& part : request.prompt)
         best->cachedParts[part.id] = now;
+    if (request.object)
+        this->rememberObject(*best, *request.object, now);
     return choice;
 }
 
 void EndpointDirectory::finish(
-    if (request.object)
-        this->rememberObject(*best, *request.object, now);
     const DispatchChoice& choice, DispatchResult result, const std::vector<PromptPart>& prompt, TimePoint now)
 {
     const auto found = this->endpoints.find(choice.name);
--- a/src/ingress/dispatch.cpp
+++ b/src/ingress/dispatch.cpp
@@ -88,6 +88,7 @@
 
 asio::awaitable<void> RequestHandler::dispatch()
 {
+    this->outcome.promptTokens = tokensOf(this->request.prompt);
     while (!this->ended && !this->callerLeft) {
         // The desired state may have changed while the request waited.
         if (this->ingress->routingSnapshot() != this->routing && !this->streamStarted
@@ -166,21 +167,21 @@
     HttpClient::Options options;
     options.timeout = forwarding.timeLeft + Milliseconds(500);
     options.window = answerWindow;
-    // Set by `onHead` and read by `bodyLimit`, which the client calls later.
-    const auto limit = std::make_shared<std::size_t>(0);
-    HttpClientHooks hooks;
     // A late copy of the endpoint's earlier answer to this request would have its id, too.
     const bool isRepeated = std::ranges::find(this->attempted, choice.name) != this->attempted.end();
     options.reuseConnection = !isRepeated;
     if (!isRepeated)
         this->attempted.push_back(choice.name);
-    hooks.onHead = [events = this->events, number = this->attempts, ingress = this->ingress, limit,
-                       isStream = this->route.kind == CallKind::Stream](const HttpResponse& response) {
-        auto head = ingress->formats.decodeEndpointHead(response);
+    // Set by `onHead` and read by `bodyLimit`, which the client calls later.
+    const auto limit = std::make_shared<std::size_t>(0);
+    HttpClientHooks hooks;
     hooks.isAnswer = [ingress = this->ingress, id = this->request.id](const HttpResponse& response) {
         const auto answered = ingress->formats.decodeEndpointHead(response).requestId;
         return answered.empty() || answered == id;
     };
+    hooks.onHead = [events = this->events, number = this->attempts, ingress = this->ingress, limit,
+                       isStream = this->route.kind == CallKind::Stream](const HttpResponse& response) {
+        auto head = ingress->formats.decodeEndpointHead(response);
         if (head.notRun)
             *limit = maxRejectionBytes;
         else if (isStream && isSuccess(head))
@@ -202,6 +203,8 @@
 {
     ++this->attempts;
     this->wasAttempted = true;
+    this->outcome.endpointWait = RuntimeClock::now() - this->admittedAt;
+    this->outcome.uncachedTokens = this->outcome.promptTokens - choice.cached;
     this->splitter.reset();
     this->endpoint = choice.name;
     this->startCall(choice);
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -36,6 +36,14 @@
     std::int64_t version = 0;
     Duration firstByte {};
     Duration total {};
+    /// Waits before the last attempt, by cause: for the history and the tokens of the turn, for the workspace's
+    /// allowance, and for an endpoint with earlier attempts included.
+    Duration turnWait {};
+    Duration allowanceWait {};
+    Duration endpointWait {};
+    /// Tokens of the prompt, and those of them that the endpoint of the last attempt was not expected to have cached.
+    TokenCount promptTokens;
+    TokenCount uncachedTokens;
     bool failed = false;
 };
 
@@ -231,14 +239,6 @@
     std::string key;
 };
 
-/// A partition of which this instance is the holder in its failure domain: it holds the token reservations and the
-/// turns of the partition's programs for the instances there.
-struct HeldPartition {
-    TimePoint since {};
-    /// Whether this instance knows all reservations that instances of the failure domain have made.
-    bool complete = false;
-};
-
 /// Progress of taking over the turns of a partition that the holders of other failure domains could not store yet.
 struct TurnTakeover {
     struct Holder {
@@ -252,6 +252,14 @@
     std::set<std::string> taken;
 };
 
+/// A partition of which this instance is the holder in its failure domain: it holds the token reservations and the
+/// turns of the partition's programs for the instances there.
+struct HeldPartition {
+    TimePoint since {};
+    /// Whether this instance knows all reservations that instances of the failure domain have made.
+    bool complete = false;
+};
+
 struct Ingress::Impl : std::enable_shared_from_this<Ingress::Impl> {
     Impl(Runtime& runtime, IngressInit init, IngressFormats formats,
         const std::function<MetadataStore(StoreTransport)>& makeStore);
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -189,6 +189,21 @@
     this->ingress->requestLog.write(this->outcome);
 }
 
+asio::awaitable<void> RequestHandler::serve()
+{
+    const auto begin = RuntimeClock::now();
+    const bool hasBegun = co_await this->beginTurn();
+    const auto begun = RuntimeClock::now();
+    this->outcome.turnWait = begun - begin;
+    if (!hasBegun)
+        co_return;
+    const bool isAdmitted = co_await this->admitByAllowance();
+    this->admittedAt = RuntimeClock::now();
+    this->outcome.allowanceWait = this->admittedAt - begun;
+    if (isAdmitted)
+        co_await this->dispatch();
+}
+
 asio::awaitable<void> RequestHandler::run([[maybe_unused]] std::shared_ptr<RequestHandler> self, HttpRequest http)
 {
     const auto stopLater = [weak = this->weak_from_this(), strand = this->executor] {
@@ -208,8 +223,7 @@
         else if (this->resolveRoute() && this->authorize()) {
             const auto longest = this->route.timeout > Milliseconds(0) ? this->route.timeout : longestRequest;
             this->deadline = this->startedAt + std::min(longest, this->request.timeLeft.value_or(longest));
-            if (co_await this->beginTurn() && co_await this->admitByAllowance())
-                co_await this->dispatch();
+            co_await this->serve();
         }
     } else {
         this->refuse(decoded.error());
--- a/src/ingress/request_p.h
+++ b/src/ingress/request_p.h
@@ -45,6 +45,8 @@
     asio::awaitable<void> run(std::shared_ptr<RequestHandler> self, HttpRequest http);
 
 private:
+    // Serves a request whose route and workspace are known.
+    asio::awaitable<void> serve();
     // Each of these refuses the request and returns false if it may not run.
     bool resolveRoute();
     bool authorize();
@@ -88,6 +90,8 @@
     asio::any_io_executor executor;
     Mailbox<AttemptEvent> events;
     TimePoint startedAt;
+    // When the allowance admitted the request.
+    TimePoint admittedAt {};
     CallerRequest request {};
     std::shared_ptr<const RoutingSnapshot> routing {};
     HttpRoute route {};
@@ -104,12 +108,12 @@
     // Tokens of the events that were forwarded to the caller.
     TokenCount deliveredTokens {};
     std::vector<std::string> excluded {};
+    // Endpoints to which the request has been sent.
+    std::vector<std::string> attempted {};
     // Number of attempts that an endpoint may have run.
     int runs = 0;
     int attempts = 0;
     // Set by the first attempt. From then on the deadline, not the latency target, limits the wait for an endpoint.
-    // Endpoints to which the request has been sent.
-    std::vector<std::string> attempted {};
     bool wasAttempted = false;
     // Whether an attempt is in progress, which its endpoint may be running.
     bool isAttemptRunning = false;
--- a/src/ingress/requestlog.cpp
+++ b/src/ingress/requestlog.cpp
@@ -42,7 +42,10 @@
             { "status", std::int64_t { outcome.status } }, { "attempts", outcome.attempts }, { "runs", outcome.runs },
             { "events", outcome.events }, { "event_bytes", outcome.eventBytes }, { "version", outcome.version },
             { "first_ms", milliseconds(outcome.firstByte) }, { "total_ms", milliseconds(outcome.total) },
-            { "detail", outcome.detail } });
+            { "turn_wait_ms", milliseconds(outcome.turnWait) },
+            { "allowance_wait_ms", milliseconds(outcome.allowanceWait) },
+            { "endpoint_wait_ms", milliseconds(outcome.endpointWait) }, { "prompt_tokens", outcome.promptTokens.value },
+            { "uncached_tokens", outcome.uncachedTokens.value }, { "detail", outcome.detail } });
 }
 
 void RequestLog::write(const ConnectionEnd& end)
