Refuse no request while the fleet has quota for it

Change: the use expected at the end of a program counts, not the mean until then, and this applies from 0.85 of the limit. Held quota counts as used only beyond a quarter of the tolerated overrun, and what leaves the window until the next division is divided now, both only while every domain reports. Requests are counted for the mean delay of reports less.

--- a/include/peridotramp/allowances.h
+++ b/include/peridotramp/allowances.h
@@ -127,6 +127,10 @@
     /// Number of requests in a window by which the fleet may exceed the limit while instances cannot reach each other.
     /// The quota reserved for requests that instances may have admitted without a report is reduced by this amount.
     double tolerance = 0;
+    /// Number of requests of quota that domains and instances may hold without admitting them before it counts as used.
+    /// Otherwise the quota that is held in one place would be refused in another. The fleet may exceed the limit by
+    /// this number when all of it is used at the same time.
+    double heldTolerance = 0;
 
     /// Maximum number of requests in a window.
     double limit() const;
@@ -154,7 +158,7 @@
         Milliseconds programDuration { 2000 };
         /// Used fraction of the limit above which programs start only when the quota covers all of their expected
         /// requests; 1 or more disables this.
-        double nearLimitFraction = 0.6;
+        double nearLimitFraction = 0.85;
     };
 
     explicit QuotaDivision(Init init)
@@ -230,7 +234,8 @@
     // Sum of the reports that are not too old; empty when the domain is silent.
     std::optional<AllowanceUse> freshUse(const Reports& reports, TimePoint now) const;
     double usedBySilentDomain(DomainId domain, TimePoint now) const;
-    double usedByOthers(TimePoint now) const;
+    // Requests in the window of all domains and the quota that counts as used.
+    double usedInFleet(TimePoint now) const;
     // Quota that all domains reserve for instances that may have used it without a report.
     double unreportedUse(TimePoint now) const;
     // Returns the claims to the quota, that of this domain first.
--- a/src/decisions/allowances/division.cpp
+++ b/src/decisions/allowances/division.cpp
@@ -22,6 +22,8 @@
 // Time in which all domains receive each other's reports after a silent domain is reachable again: two and a half
 // report periods.
 constexpr Milliseconds settleTime { 250 };
+// Time between two divisions. What leaves the window until the next one can be used by then.
+constexpr Milliseconds divisionPeriod { 100 };
 
 // Returns a sort key of the domain that changes with the salt. Cheaper than a hash of bytes, as it is calculated for
 // each pair of domain and workspace.
@@ -36,6 +38,11 @@
 
 double reportedOf(const AllowanceUse& use) { return committedOf(use) - use.unreported; }
 
+// Quota that may never be used: what a domain has divided or leased and not admitted yet.
+double heldQuotaOf(const AllowanceUse& use) { return static_cast<double>(use.outstanding) - use.unreported; }
+
+double certainUseOf(const AllowanceUse& use) { return committedOf(use) - heldQuotaOf(use); }
+
 } // namespace
 
 double AllowanceSettings::limit() const
@@ -132,22 +139,34 @@
         : std::max(shareOfLimit, this->lastKnown(found->second, committedOf, now).requests);
 }
 
-double QuotaDivision::usedByOthers(TimePoint now) const
+double QuotaDivision::usedInFleet(TimePoint now) const
 {
-    double used = 0;
+    double used = certainUseOf(this->own);
+    double held = heldQuotaOf(this->own);
+    double inWindow = this->own.inWindow;
+    // While a domain is silent or returns, the whole overrun that is tolerated may be needed for what it admits.
+    bool isEachKnown = this->unreportedUse(now) == 0;
     for (const auto& [domain, share] : this->shares) {
         const auto found = this->reports.find(domain);
         const auto current = found == this->reports.end() ? std::nullopt : this->freshUse(found->second, now);
-        if (!current) {
-            used += this->usedBySilentDomain(domain, now);
-            continue;
-        }
         const auto reconnection = this->reconnections.find(domain);
         const bool isSettling
             = reconnection != this->reconnections.end() && now - reconnection->second.at <= settleTime;
-        used += std::max(committedOf(*current), isSettling ? reconnection->second.counted : 0);
+        isEachKnown = isEachKnown && current && !isSettling;
+        if (!current) {
+            used += this->usedBySilentDomain(domain, now);
+        } else if (isSettling) {
+            used += std::max(committedOf(*current), reconnection->second.counted);
+        } else {
+            used += certainUseOf(*current);
+            held += heldQuotaOf(*current);
+            inWindow += current->inWindow;
+        }
     }
-    return used;
+    if (!isEachKnown)
+        return used + held;
+    const auto leaving = inWindow * (std::chrono::duration<double>(divisionPeriod) / this->settings.window);
+    return used - leaving + std::max(0.0, held - this->settings.heldTolerance);
 }
 
 double QuotaDivision::unreportedUse(TimePoint now) const
@@ -214,8 +233,9 @@
     const auto requests = programsStarted < minProgramsForMean
         ? defaultProgramRequests
         : std::clamp(admitted / programsStarted, 1.0, maxProgramRequests);
-    // While a program runs, a part of the requests that count now leaves the window.
-    const auto freed = std::chrono::duration<double>(this->init.programDuration) / this->settings.window / 2;
+    // By the end of the program, a part of the requests that count now has left the window. The use until then lies
+    // between that of now and that of the end.
+    const auto freed = std::chrono::duration<double>(this->init.programDuration) / this->settings.window;
     const auto free = this->settings.limit() - used * (1 - freed) - inProgress * requests * remainingFraction;
     return std::max(0.0, free / requests);
 }
@@ -223,7 +243,7 @@
 void QuotaDivision::rebalance(const AllowanceUse& newOwn, TimePoint now)
 {
     this->own = newOwn;
-    const auto used = this->usedByOthers(now) + committedOf(this->own);
+    const auto used = this->usedInFleet(now);
     this->fleetUnreported = this->unreportedUse(now);
     this->nearLimit = used - this->fleetUnreported > this->settings.limit() * this->init.nearLimitFraction;
     this->fleetRequestsLeft = this->settings.limit() - used;
--- a/src/decisions/allowances/domain.cpp
+++ b/src/decisions/allowances/domain.cpp
@@ -17,6 +17,11 @@
 // Time in which a new coordinator receives reports from the instances and the other domains.
 constexpr Milliseconds initialReportPeriod { 300 };
 
+// Mean time from the admission of a request until all domains count it: the report of its instance, the summary of its
+// domain and a slot of the window take up to 100 ms each. A request is counted for so much less time; otherwise it
+// would still be counted after it has left the window, and as much quota be refused.
+constexpr Milliseconds reportLag { 150 };
+
 bool isRecent(const std::optional<TimePoint>& event, TimePoint now)
 {
     return event && now - *event <= unmetDemandPeriod;
@@ -27,7 +32,7 @@
 DomainAllowance::DomainAllowance(QuotaDivision::Init init, const AllowanceSettings& settings)
     : quota(init)
     , settings(settings)
-    , admitted(settings.window)
+    , admitted(settings.window - reportLag)
     , requested(settings.window)
     , programsStarted(settings.window)
     , programsStartedRecently(init.programDuration)
--- a/src/ingress/allowances.cpp
+++ b/src/ingress/allowances.cpp
@@ -10,8 +10,10 @@
 constexpr Milliseconds instanceTimeout { 350 };
 // Every third report contains all workspaces in use, for coordinators that have just started.
 constexpr std::uint64_t fullReportInterval = 3;
-// Fraction of the configured tolerance for requests that are never reported; the rest is for the delay of reports.
-constexpr double toleranceFraction = 0.5;
+// Fractions of the tolerated overrun of a limit for requests that are never reported, and for quota that is held
+// without being used; the rest is for the delay of reports.
+constexpr double unreportedFraction = 0.5;
+constexpr double heldFraction = 0.25;
 
 } // namespace
 
@@ -51,7 +53,9 @@
         const auto id = idFromName<WorkspaceId>(workspace.name);
         limited.insert(id);
         AllowanceSettings settings { workspace.rate, workspace.burst, this->init.window };
-        settings.tolerance = toleranceFraction * (settings.limit() * this->init.overrun + this->init.slack);
+        const auto overrun = settings.limit() * this->init.overrun + this->init.slack;
+        settings.tolerance = unreportedFraction * overrun;
+        settings.heldTolerance = heldFraction * overrun;
         this->entries.with(id.value, [&](Shard& shard) {
             auto found = shard.find(id);
             if (found == shard.end()) {
--- a/tests/allowances/allowances.cpp
+++ b/tests/allowances/allowances.cpp
@@ -13,11 +13,12 @@
 
 AllowanceSettings settingsOf(double rate, std::int64_t burst) { return { { rate }, { burst }, Seconds(5) }; }
 
-// Settings whose tolerance is half of what the bound allows, as in production.
+// Settings with the tolerances of production.
 AllowanceSettings tolerantSettingsOf(double rate, std::int64_t burst)
 {
     auto settings = settingsOf(rate, burst);
     settings.tolerance = 0.5 * (boundOf(settings) - settings.limit());
+    settings.heldTolerance = 0.25 * (boundOf(settings) - settings.limit());
     return settings;
 }
 
--- a/tests/allowances/model.h
+++ b/tests/allowances/model.h
@@ -42,6 +42,8 @@
 
     std::size_t size() const { return this->init.domains * this->init.instances; }
     TimePoint now() const { return this->time; }
+    /// Number of requests that the whole fleet has admitted within the window.
+    std::size_t inWindow() const { return this->window.size(); }
 
     /// Starts or ends a network partition between a domain and the others.
     void setDomainPartitioned(std::size_t domain, bool partitioned) { this->domains[domain].partitioned = partitioned; }
