Read a page of stored records again by itself when it fails

Cause, from reading the code after the incident's logs: a partition is read in pages of at most 1 MB, and one page that failed made the reader begin again with the first. With hundreds of megabytes of turns for a store that sends 80 MB/s, and calls refused beyond its rates, most reads never reached the last page and kept the store overloaded. Change: a page after the first is read again up to five times, with a jittered backoff from 100 to 800 ms. The log line of a lost or regained store states the HTTP status, which tells a refusal by rate from an outage. Result: with every second call failing, 12 pages are read by at most 24 calls; the code before fails at the first failed page.

--- a/include/peridotramp/store.h
+++ b/include/peridotramp/store.h
@@ -69,7 +69,8 @@
 /// Tracks whether the metadata store answers the calls of this instance. Thread-safe.
 class StoreHealth {
 public:
-    void recordResult(bool answered);
+    /// Records whether a call was answered, with the HTTP status; 0 when there was no complete answer.
+    void recordResult(bool answered, unsigned status);
     bool isReachable() const { return this->reachable; }
     /// Returns the time since the last failed call; `Duration::max()` when none has failed.
     Duration timeSinceFailure() const;
@@ -104,7 +105,8 @@
 void followStore(const asio::any_io_executor& executor, const MetadataStore& store, StoreFollower::Init init,
     StoreFollower follower);
 
-/// Reads all pages of the newest records. Returns the offset from which to continue without missing a record. Runs on
+/// Reads all pages of the newest records. Tries a page after the first again a few times, with a backoff, before it
+/// fails. Returns the offset from which to continue without missing a record. Runs on
 /// `executor`.
 asio::awaitable<Result<Offset>> readNewest(asio::any_io_executor executor, const MetadataStore& store, StoreTopic topic,
     StorePartition partition, std::function<void(std::vector<StoreRecord>)> onPage);
--- a/src/ingress/storeaccess.cpp
+++ b/src/ingress/storeaccess.cpp
@@ -46,7 +46,7 @@
         // A connection without an answer may be dead, and the other idle connections with it.
         if (response->status == 0)
             this->storeClient.closeIdle(this->init.storeAddress);
-        this->storeHealth.recordResult(isAnswered(*response));
+        this->storeHealth.recordResult(isAnswered(*response), response->status);
         hook(result, std::move(*response));
     };
     this->storeClient.stream(this->init.storeAddress, std::move(request), options, std::move(hooks));
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -9,6 +9,10 @@
 
 // Upper bound on the wait for one call of the store; the calls themselves have shorter timeouts.
 constexpr Seconds maxCallWait { 10 };
+// Attempts at one page after the first, and bounds of the delay between them.
+constexpr int maxPageRetries = 5;
+constexpr Milliseconds minPageRetryDelay { 100 };
+constexpr Milliseconds maxPageRetryDelay { 800 };
 
 class Backoff {
 public:
@@ -79,13 +83,14 @@
 
 } // namespace
 
-void StoreHealth::recordResult(bool answered)
+void StoreHealth::recordResult(bool answered, unsigned status)
 {
     if (!answered)
         this->lastFailure = RuntimeClock::now();
     if (this->reachable.exchange(answered) != answered)
         log(answered ? LogLevel::Info : LogLevel::Warning,
-            answered ? "metadata store reachable" : "metadata store unreachable");
+            answered ? "metadata store reachable" : "metadata store unreachable",
+            { { "status", std::int64_t { status } } });
 }
 
 Duration StoreHealth::timeSinceFailure() const
@@ -99,14 +104,22 @@
 {
     std::optional<Offset> end;
     std::string after;
+    Backoff backoff(minPageRetryDelay, maxPageRetryDelay);
+    int failures = 0;
     while (true) {
         const std::function<void(MetadataStore::PageHook)> start
             = [&](MetadataStore::PageHook hook) { store.newest(topic, partition, after, std::move(hook)); };
         auto page = co_await awaitResult<Result<StorePage>>(executor, RuntimeClock::now() + maxCallWait, start);
-        if (!page)
-            co_return Result<Offset>(Error { ErrorKind::LogUnavailable });
-        if (!*page)
-            co_return Result<Offset>(page->error());
+        if (!page || !*page) {
+            // A later page is tried again by itself: while the store is overloaded, reading all pages again would
+            // hardly ever reach the last one and keep the store overloaded.
+            if (!end || ++failures > maxPageRetries)
+                co_return page ? Result<Offset>(page->error()) : Result<Offset>(Error { ErrorKind::LogUnavailable });
+            co_await sleepFor(executor, backoff.takeDelay());
+            continue;
+        }
+        failures = 0;
+        backoff.reset();
         auto& content = page->value();
         // Pages are read at different times; continuing from the end offset of the first one misses no record.
         if (!end)
--- a/tests/store/store.cpp
+++ b/tests/store/store.cpp
@@ -59,6 +59,69 @@
     pool.join();
 }
 
+// Guards against an overloaded store that is kept overloaded: with a chance of one half for each page, reading all
+// pages again after a failure would hardly ever reach the last of them.
+TEST_CASE("a page of the newest records that fails is read again without the pages before it")
+{
+    constexpr int pages = 12;
+    Fixture fixture;
+    asio::thread_pool pool(1);
+    std::atomic<int> calls = 0;
+    MetadataStore store;
+    store.newest = [&](StoreTopic, StorePartition, const std::string& after, const MetadataStore::PageHook& hook) {
+        const int number = after.empty() ? 0 : std::stoi(after) + 1;
+        // Every second call fails.
+        if (++calls % 2 == 0) {
+            hook(Error { ErrorKind::LogUnavailable, Outcome::NotRun });
+            return;
+        }
+        hook(StorePage { { { std::to_string(number), "x", {} } }, { 40 }, number + 1 < pages });
+    };
+    std::promise<std::pair<bool, std::size_t>> done;
+    std::size_t records = 0;
+    const std::function<void(std::vector<StoreRecord>)> onPage
+        = [&](const std::vector<StoreRecord>& page) { records += page.size(); };
+    const auto executor = asio::make_strand(pool);
+    asio::co_spawn(
+        executor,
+        [&]() -> asio::awaitable<void> {
+            const auto end = co_await readNewest(executor, store, StoreTopic::Turns, {}, onPage);
+            done.set_value({ end && *end == Offset { 40 }, records });
+        },
+        asio::detached);
+    const auto [read, count] = done.get_future().get();
+    pool.join();
+    REQUIRE(read);
+    REQUIRE(count == pages);
+    REQUIRE(calls <= 2 * pages);
+}
+
+// Guards against a request that waits for a store that does not answer at all.
+TEST_CASE("the first page of the newest records is not tried again")
+{
+    Fixture fixture;
+    asio::thread_pool pool(1);
+    std::atomic<int> calls = 0;
+    MetadataStore store;
+    store.newest = [&](StoreTopic, StorePartition, const std::string&, const MetadataStore::PageHook& hook) {
+        ++calls;
+        hook(Error { ErrorKind::LogUnavailable, Outcome::NotRun });
+    };
+    std::promise<bool> done;
+    const std::function<void(std::vector<StoreRecord>)> onPage = [](const std::vector<StoreRecord>&) { };
+    const auto executor = asio::make_strand(pool);
+    asio::co_spawn(
+        executor,
+        [&]() -> asio::awaitable<void> {
+            const auto end = co_await readNewest(executor, store, StoreTopic::Turns, {}, onPage);
+            done.set_value(end.hasValue());
+        },
+        asio::detached);
+    REQUIRE_FALSE(done.get_future().get());
+    pool.join();
+    REQUIRE(calls == 1);
+}
+
 // Guards against turns that are left out, or sent again and again, when they are handed over in pages.
 TEST_CASE("the records that are not stored yet can be read in pages, ordered by key")
 {
