Survive an unexpected exception in any handler, timer or coroutine

Cause: an exception that left a handler or a timer ended a thread of the runtime and with it the process. One that left a coroutine was dropped without a line: a follower of the store, the receiver of datagrams or a request ended for good, and its caller got no answer. Change: the threads of the runtime, timers, signals, accepted connections, datagrams and records of the store are guarded; what is thrown is logged as "unexpected exception" with its task. A request whose coroutine throws is answered 502, as it may have run, and gives back its tokens and its place at the endpoint; a call whose hook throws ends with an error; a server whose handler throws answers 500. Result: "an exception while a request is handled ends only that request", "an exception in a handler, a timer or a request ends nothing else" and "an exception in a hook ends its call with an error".

--- a/include/peridotramp/async.h
+++ b/include/peridotramp/async.h
@@ -27,6 +27,28 @@
 /// Completion token for coroutines that returns errors as values.
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
+/// Logs an exception that no code has handled, with the task that it ended. Does nothing without an exception.
+void logUnexpectedError(std::string_view task, const std::exception_ptr& error);
+
+/// Completion handler for coroutines that run on their own: logs the exception that ended one. `task` must outlive it.
+inline auto reportErrors(std::string_view task)
+{
+    return [task](const std::exception_ptr& error) { logUnexpectedError(task, error); };
+}
+
+/// Calls a function and logs an exception that leaves it, so that one failed task does not end its loop or the process.
+/// Returns whether the function returned normally.
+template <typename Function> bool callGuarded(std::string_view task, Function&& function)
+{
+    try {
+        function();
+        return true;
+    } catch (...) {
+        logUnexpectedError(task, std::current_exception());
+        return false;
+    }
+}
+
 /// Queue from callbacks on any thread to one coroutine. Copies refer to the same queue.
 template <typename Event> class Mailbox {
 public:
--- a/src/ingress/dispatch.cpp
+++ b/src/ingress/dispatch.cpp
@@ -105,6 +105,7 @@
             co_await this->waitForEndpoint(none);
             continue;
         }
+        this->choice = choice;
         const auto end = co_await this->attempt(*choice);
         this->outcome.endpoint = choice->name;
         switch (end) {
@@ -223,10 +224,18 @@
         result = DispatchResult::Abandoned;
     if (result == DispatchResult::WrongInstance)
         this->excluded.push_back(choice.name);
+    this->finishChoice(result);
+    co_return end;
+}
+
+void RequestHandler::finishChoice(DispatchResult result)
+{
+    const auto ended = std::exchange(this->choice, std::nullopt);
+    if (!ended)
+        return;
     this->ingress->directories.with(hashBytes(this->service), [&](const std::unique_ptr<EndpointDirectory>& directory) {
-        directory->finish(choice, result, this->request.prompt, RuntimeClock::now());
+        directory->finish(*ended, result, this->request.prompt, RuntimeClock::now());
     });
-    co_return end;
 }
 
 asio::awaitable<AttemptResult> RequestHandler::relay(const DispatchChoice& choice, TimePoint until)
--- a/src/ingress/holders.cpp
+++ b/src/ingress/holders.cpp
@@ -154,7 +154,7 @@
                 TimePoint since) -> asio::awaitable<void> {
                 co_await impl->loadPartition(strand, held, since);
             }(this->shared_from_this(), executor, partition, now),
-            asio::detached);
+            reportErrors("loading a partition"));
     }
 }
 
--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -202,7 +202,7 @@
         [](std::shared_ptr<Ingress::Impl> owner, asio::any_io_executor strand, RpcReply answer,
             Operation body) -> asio::awaitable<void> { co_await body(*owner, strand, answer); }(impl, executor, reply,
                                 std::move(operation)),
-        asio::detached);
+        reportErrors("answering a peer"));
 }
 
 asio::awaitable<void> handleBeginTurn(
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -88,6 +88,25 @@
     this->events.push({ 0, CallerLeft {} });
 }
 
+void RequestHandler::fail()
+{
+    constexpr std::string_view reason = "internal error";
+    this->call.cancel();
+    this->finishChoice(DispatchResult::Abandoned);
+    if (this->streamStarted)
+        this->abort(reason);
+    else
+        this->refuse({ ErrorKind::OutcomeUnknown, Outcome::Unknown, std::string(reason) });
+    this->finish();
+}
+
+void RequestHandler::finish()
+{
+    this->endTurn();
+    this->logOutcome();
+    this->ingress->running.remove(this->runningKey);
+}
+
 bool RequestHandler::resolveRoute()
 {
     this->routing = this->ingress->routingSnapshot();
@@ -228,9 +247,7 @@
     } else {
         this->refuse(decoded.error());
     }
-    this->endTurn();
-    this->logOutcome();
-    this->ingress->running.remove(this->runningKey);
+    this->finish();
 }
 
 void Ingress::Impl::recordTooLarge(std::string_view peer, std::string_view name, std::string_view part, ByteCount limit)
@@ -246,7 +263,12 @@
     const auto executor = this->newStrand();
     auto run = std::make_shared<RequestHandler>(this->shared_from_this(), exchange, executor);
     auto* raw = run.get();
-    asio::co_spawn(executor, raw->run(std::move(run), std::move(request)), asio::detached);
+    auto task = raw->run(run, std::move(request));
+    asio::co_spawn(executor, std::move(task), [run = std::move(run)](const std::exception_ptr& error) {
+        logUnexpectedError("request", error);
+        if (error)
+            run->fail();
+    });
 }
 
 } // namespace peridotramp
--- a/src/ingress/request_p.h
+++ b/src/ingress/request_p.h
@@ -43,6 +43,8 @@
         std::shared_ptr<Ingress::Impl> ingress, HttpExchange exchange, const asio::any_io_executor& executor);
 
     asio::awaitable<void> run(std::shared_ptr<RequestHandler> self, HttpRequest http);
+    /// Ends the request after an exception of its coroutine.
+    void fail();
 
 private:
     // Serves a request whose route and workspace are known.
@@ -59,6 +61,8 @@
     asio::awaitable<bool> waitForEndpoint(Error error);
     DispatchRequest dispatchRequest() const;
     asio::awaitable<AttemptResult> attempt(DispatchChoice choice);
+    // Ends the current choice in the endpoint directory.
+    void finishChoice(DispatchResult result);
     asio::awaitable<AttemptResult> relay(const DispatchChoice& choice, TimePoint deadline);
     asio::awaitable<AttemptResult> relayEvents(TimePoint deadline);
     asio::awaitable<AttemptResult> relayBuffered(EndpointHead head, TimePoint deadline);
@@ -83,6 +87,8 @@
     // Reports the end of the turn to the holder of the program, with its tokens at most once.
     void endTurn(std::optional<ConversationTurn> turn = std::nullopt);
     void logOutcome();
+    // Releases what the request holds, and logs it.
+    void finish();
     Milliseconds timeLeft(TimePoint now) const;
 
     std::shared_ptr<Ingress::Impl> ingress;
@@ -126,6 +132,8 @@
     std::string output {};
     HttpClient::Call call {};
     RunningRequests::Key runningKey = 0;
+    // Choice of the current attempt, which the endpoint directory counts as outstanding.
+    std::optional<DispatchChoice> choice {};
     // Endpoint of the current attempt.
     std::string endpoint {};
     RequestOutcome outcome {};
--- a/src/nodes/connection.cpp
+++ b/src/nodes/connection.cpp
@@ -37,7 +37,8 @@
 void FrameConnection::start(Hooks hooks)
 {
     this->hooks = std::move(hooks);
-    asio::co_spawn(this->socket.get_executor(), this->readFrames(this->shared_from_this()), asio::detached);
+    asio::co_spawn(
+        this->socket.get_executor(), this->readFrames(this->shared_from_this()), reportErrors("reading frames"));
 }
 
 bool FrameConnection::send(const std::string& frame)
@@ -54,7 +55,7 @@
         self->outgoing.push_back(std::move(bytes));
         if (std::exchange(self->writing, true))
             return;
-        asio::co_spawn(self->socket.get_executor(), self->writeFrames(self), asio::detached);
+        asio::co_spawn(self->socket.get_executor(), self->writeFrames(self), reportErrors("writing frames"));
     });
     return true;
 }
--- a/src/nodes/datagram.cpp
+++ b/src/nodes/datagram.cpp
@@ -33,7 +33,7 @@
         if (error)
             continue;
         if (!this->init.isCut || !this->init.isCut({ sender.address().to_string(), sender.port() }))
-            this->handler({ this->buffer.data(), size });
+            callGuarded("datagram", [&] { this->handler({ this->buffer.data(), size }); });
     }
 }
 
@@ -47,7 +47,7 @@
         socket.open(endpoint.protocol());
         socket.bind(endpoint);
     });
-    asio::co_spawn(this->impl->strand, this->impl->receive(this->impl), asio::detached);
+    asio::co_spawn(this->impl->strand, this->impl->receive(this->impl), reportErrors("receiving datagrams"));
 }
 
 DatagramSocket::~DatagramSocket()
--- a/src/nodes/rpcclient.cpp
+++ b/src/nodes/rpcclient.cpp
@@ -77,7 +77,7 @@
     if (this->connection)
         this->sendQueued();
     else if (!std::exchange(this->connecting, true))
-        asio::co_spawn(this->strand, this->connect(this->shared_from_this()), asio::detached);
+        asio::co_spawn(this->strand, this->connect(this->shared_from_this()), reportErrors("connecting to a peer"));
 }
 
 void ClientConnection::sendQueued()
--- a/src/nodes/rpcserver.cpp
+++ b/src/nodes/rpcserver.cpp
@@ -133,8 +133,8 @@
 {
     this->impl->bound = listenOn(this->impl->acceptor, this->impl->init.listen);
     auto onSocket = [impl = this->impl](asio::ip::tcp::socket socket) { startConnection(impl, std::move(socket)); };
-    asio::co_spawn(
-        this->impl->acceptor.get_executor(), acceptConnections(this->impl, std::move(onSocket)), asio::detached);
+    asio::co_spawn(this->impl->acceptor.get_executor(), acceptConnections(this->impl, std::move(onSocket)),
+        reportErrors("accepting peers"));
 }
 
 RpcServer::~RpcServer() { this->stopAccepting(); }
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -77,6 +77,8 @@
 
     // `self` keeps the call alive: the coroutine starts after its creator has released the call.
     asio::awaitable<void> run(std::shared_ptr<State> self);
+    // Ends the call after an exception of its coroutine, unless it has ended.
+    void fail();
     asio::awaitable<boost::system::error_code> connect();
     asio::awaitable<boost::system::error_code> exchange();
     asio::awaitable<void> writeRequest(std::shared_ptr<State> self, http::request<http::string_body> message);
@@ -312,7 +314,8 @@
     this->deadline = std::chrono::steady_clock::now() + this->options.timeout;
     this->windowTimer.emplace(this->executor);
     this->result.requestWritten = true;
-    asio::co_spawn(this->executor, this->writeRequest(this->shared_from_this(), std::move(message)), asio::detached);
+    asio::co_spawn(this->executor, this->writeRequest(this->shared_from_this(), std::move(message)),
+        reportErrors("writing a request"));
     std::optional<ResponseParser> parser;
     beast::flat_buffer buffer(this->client->init.maxHeadBytes + maxReadBytes);
     const auto headError = co_await this->readOwnHead(parser, buffer);
@@ -354,6 +357,16 @@
         finished.onEnd(this->result);
 }
 
+void HttpClient::Call::State::fail()
+{
+    if (this->stream)
+        this->stream->close();
+    this->result.error = ErrorKind::EndpointFailed;
+    const auto finished = std::exchange(this->hooks, {});
+    if (finished.onEnd)
+        finished.onEnd(this->result);
+}
+
 void HttpClient::Call::cancel() const
 {
     const auto call = this->state.lock();
@@ -402,7 +415,11 @@
     if (!state->stream)
         state->stream = std::make_unique<beast::tcp_stream>(asio::make_strand(this->impl->context));
     state->executor = state->stream->get_executor();
-    asio::co_spawn(state->executor, state->run(state), asio::detached);
+    asio::co_spawn(state->executor, state->run(state), [state](const std::exception_ptr& error) {
+        logUnexpectedError("HTTP call", error);
+        if (error)
+            state->fail();
+    });
     return Call { state };
 }
 
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -292,8 +292,13 @@
     this->exchangeActive = true;
     this->activeSequence = ++this->currentSequence;
     asio::co_spawn(this->socket.get_executor(),
-        this->watchForDisconnect(this->shared_from_this(), this->currentSequence), asio::detached);
-    this->server->handler(std::move(request), HttpExchange { this->shared_from_this(), this->currentSequence });
+        this->watchForDisconnect(this->shared_from_this(), this->currentSequence), reportErrors("watching a caller"));
+    const bool isHandled = callGuarded("request", [&] {
+        this->server->handler(std::move(request), HttpExchange { this->shared_from_this(), this->currentSequence });
+    });
+    if (!isHandled)
+        this->enqueue(this->currentSequence,
+            { PartKind::Whole, textResponse(static_cast<unsigned>(http::status::internal_server_error), "") });
     bool continues = true;
     while (continues && this->exchangeActive) {
         if (this->parts.empty()) {
@@ -511,7 +516,7 @@
         return;
     }
     auto session = std::make_shared<Session>(server, std::move(socket));
-    asio::co_spawn(session->socket.get_executor(), session->run(session), asio::detached);
+    asio::co_spawn(session->socket.get_executor(), session->run(session), reportErrors("connection of a caller"));
 }
 
 void post(const HttpExchange& exchange, Session::PartKind kind, HttpResponse response)
@@ -592,8 +597,8 @@
 {
     this->impl->bound = listenOn(this->impl->acceptor, this->impl->init.listen);
     auto onSocket = [impl = this->impl](asio::ip::tcp::socket socket) { startSession(impl, std::move(socket)); };
-    asio::co_spawn(
-        this->impl->acceptor.get_executor(), acceptConnections(this->impl, std::move(onSocket)), asio::detached);
+    asio::co_spawn(this->impl->acceptor.get_executor(), acceptConnections(this->impl, std::move(onSocket)),
+        reportErrors("accepting callers"));
 }
 
 HttpServer::~HttpServer() { this->stopAccepting(); }
--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -2,6 +2,21 @@
 
 namespace peridotramp {
 
+void logUnexpectedError(std::string_view task, const std::exception_ptr& error)
+{
+    if (!error)
+        return;
+    std::string reason = "unknown exception";
+    try {
+        std::rethrow_exception(error);
+    } catch (const std::exception& exception) {
+        reason = exception.what();
+    } catch (...) {
+        // Not derived from std::exception, so that there is nothing to state.
+    }
+    log(LogLevel::Error, "unexpected exception", { { "task", std::string(task) }, { "reason", reason } });
+}
+
 struct Timer::State {
     State(asio::io_context& context, std::function<void()> hook, std::optional<Duration> period)
         : timer(context)
@@ -23,7 +38,7 @@
     state->timer.async_wait([state](const boost::system::error_code& error) {
         if (error || state->cancelled)
             return;
-        state->hook();
+        callGuarded("timer", state->hook);
         if (!state->period || state->cancelled)
             return;
         state->timer.expires_after(*state->period);
@@ -44,7 +59,7 @@
     signals->async_wait([signals, hook = std::move(hook)](const boost::system::error_code& error, int signal) {
         if (error)
             return;
-        hook(signal);
+        callGuarded("signal", [&] { hook(signal); });
         waitForSignal(signals, hook);
     });
 }
@@ -73,7 +88,10 @@
 void Runtime::start()
 {
     for (std::size_t index = 0; index < this->impl->init.threads; ++index)
-        this->impl->threads.emplace_back([this] { this->impl->context.run(); });
+        this->impl->threads.emplace_back([this] {
+            // An exception ends only the handler that threw it; the loop continues with the others.
+            while (!callGuarded("handler", [this] { this->impl->context.run(); })) { }
+        });
 }
 
 void Runtime::waitForStop()
--- a/src/runtime/runtime_p.h
+++ b/src/runtime/runtime_p.h
@@ -114,9 +114,11 @@
             co_await delay.async_wait(asTuple);
             continue;
         }
-        asio::ip::tcp::socket accepted(std::move(socket));
-        configureSocket(accepted);
-        onSocket(std::move(accepted));
+        callGuarded("accepting a connection", [&] {
+            asio::ip::tcp::socket accepted(std::move(socket));
+            configureSocket(accepted);
+            onSocket(std::move(accepted));
+        });
     }
 }
 
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -55,7 +55,7 @@
                 continue;
             }
             from = *end;
-            follower.onSnapshot(std::move(*records));
+            callGuarded("snapshot of the metadata store", [&] { follower.onSnapshot(std::move(*records)); });
         }
         const std::function<void(MetadataStore::ReadHook)> start = [&](MetadataStore::ReadHook hook) {
             store.read(init.topic, init.partition, *from, init.wait, std::move(hook));
@@ -74,7 +74,7 @@
         // A store that lags behind may report an offset before what was read earlier.
         if (content.next > *from) {
             from = content.next;
-            follower.onRecords(std::move(content.records));
+            callGuarded("records of the metadata store", [&] { follower.onRecords(std::move(content.records)); });
         }
         if (init.pause > Milliseconds(0))
             co_await sleepFor(executor, init.pause);
@@ -136,7 +136,8 @@
 void followStore(
     const asio::any_io_executor& executor, const MetadataStore& store, StoreFollower::Init init, StoreFollower follower)
 {
-    asio::co_spawn(executor, follow(executor, store, init, std::move(follower)), asio::detached);
+    asio::co_spawn(
+        executor, follow(executor, store, init, std::move(follower)), reportErrors("following the metadata store"));
 }
 
 } // namespace peridotramp
--- a/tests/ingress/calls.cpp
+++ b/tests/ingress/calls.cpp
@@ -162,6 +162,24 @@
     REQUIRE(seen[1].connection != seen[0].connection);
 }
 
+// Guards against an unexpected error in one request that ends the process, leaves its caller without an answer, or is
+// reported as not run.
+TEST_CASE("an exception while a request is handled ends only that request")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "desk", answerOk);
+    deployment.publish(1);
+    deployment.formats.encodeForEndpoint = [encode = deployment.formats.encodeForEndpoint](
+                                               const CallerRequest& request, const ForwardingInfo& forwarding) {
+        if (request.id == "bad")
+            throw std::runtime_error("cannot encode");
+        return encode(request, forwarding);
+    };
+    const auto ingress = deployment.startReady("n1");
+    REQUIRE(deployment.send(*ingress, Deployment::request("POST", "/w/x", "bad")).second.status == 502);
+    REQUIRE(deployment.send(*ingress, Deployment::request("POST", "/w/x", "good")).second.status == 200);
+}
+
 // Guards against requests that keep running at endpoints after their callers have disconnected.
 TEST_CASE("when a caller disconnects, its request is cancelled at the endpoint")
 {
--- a/tests/ingress/fixture.h
+++ b/tests/ingress/fixture.h
@@ -132,11 +132,11 @@
         init.firstStart = firstStart;
         init.storePartitions = 2;
         this->configure(init);
-        auto ingress = std::make_shared<Ingress>(
-            this->runtime, init, platform::formats(), [this](const StoreTransport& transport) {
-                this->transport = transport;
-                return this->fakeStore.client();
-            });
+        auto ingress
+            = std::make_shared<Ingress>(this->runtime, init, this->formats, [this](const StoreTransport& transport) {
+                  this->transport = transport;
+                  return this->fakeStore.client();
+              });
         ingress->start();
         this->instances.push_back(ingress);
         return ingress;
@@ -176,6 +176,8 @@
 
     /// Changes the settings of the instances that are started from now on.
     std::function<void(IngressInit&)> configure = [](IngressInit&) { };
+    /// Codecs of the instances that are started from now on.
+    IngressFormats formats = platform::formats();
     /// Latency target of all routes that are published from now on.
     int latencyTargetMs = 1000;
     Runtime runtime { { 3 } };
--- a/tests/runtime/http.cpp
+++ b/tests/runtime/http.cpp
@@ -227,3 +227,41 @@
     REQUIRE(disconnected == 0);
     REQUIRE(answered == callers * rounds);
 }
+
+// Guards against an unexpected error in one handler that ends the process or stops a periodic task.
+TEST_CASE("an exception in a handler, a timer or a request ends nothing else")
+{
+    Fixture fixture;
+    std::atomic<int> ticks = 0;
+    auto timer = fixture.runtime.every(Milliseconds(5), [&] {
+        ++ticks;
+        throw std::runtime_error("timer");
+    });
+    for (int index = 0; index < 10; ++index)
+        fixture.runtime.post([] { throw std::runtime_error("handler"); });
+    HttpServer server(fixture.runtime, {}, [](const HttpRequest& request, const HttpExchange& exchange) {
+        if (request.target == "/throws")
+            throw std::runtime_error("request");
+        exchange.respond({ 200, {}, "x" });
+    });
+    REQUIRE(fetch(fixture.client, server.address(), { "GET", "/throws", {}, {} }).response.status == 500);
+    REQUIRE(fetch(fixture.client, server.address(), {}).response.status == 200);
+    REQUIRE(eventually([&] { return ticks >= 3; }));
+    timer.cancel();
+}
+
+// Guards against a call that never ends because one of its hooks threw.
+TEST_CASE("an exception in a hook ends its call with an error")
+{
+    Fixture fixture;
+    HttpServer server(fixture.runtime, {},
+        [](const HttpRequest&, const HttpExchange& exchange) { exchange.respond({ 200, {}, "x" }); });
+    std::promise<HttpResult> ended;
+    HttpClientHooks hooks;
+    hooks.onHead = [](const HttpResponse&) { throw std::runtime_error("head"); };
+    hooks.onEnd = [&](HttpResult result) { ended.set_value(result); };
+    fixture.client.stream(server.address(), {}, {}, std::move(hooks));
+    const auto result = ended.get_future().get();
+    REQUIRE(result.error == ErrorKind::EndpointFailed);
+    REQUIRE(result.requestWritten);
+}
