--- a/src/runtime/runtime.cpp
+++ b/src/runtime/runtime.cpp
@@ -6,13 +6,13 @@
 {
     if (!error)
         return;
-    std::string reason = "unknown exception";
+    std::string reason;
     try {
         std::rethrow_exception(error);
     } catch (const std::exception& exception) {
         reason = exception.what();
     } catch (...) {
-        // Not derived from std::exception, so that there is nothing to state.
+        reason = "exception of an unknown type";
     }
     log(LogLevel::Error, "unexpected exception", { { "task", std::string(task) }, { "reason", reason } });
 }
