Reserve no tokens from the log before it contains what was confirmed without it

The holder in xela does not answer in 900 ms, so front-xela-2 begins the turn itself, reads the log 0.1 s after the store's return, before the other holders have stored their copies, and reserves 560 of a budget that looks unused. The lines of the refusals that follow list every reservation but that of front-toto-1. Ruled out: an older record that replaced a newer one; no record of that reservation had reached the log. Change: an instance that does not know the whole partition reserves nothing until the store has answered it for 1.5 s, the time in which copies are stored. Holders that know the partition go on at once. Remains: a process that starts just after the store's return has seen no failure and does not wait.

--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -1,4 +1,5 @@
 #include "ingress_p.h"
+#include "storesettled_p.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -272,6 +273,10 @@
     asio::any_io_executor executor, ProgramId program, TokenCount maxTokens, TimePoint deadline)
 {
     const auto partition = this->partitionOf(program);
+    // Reservations that other instances have confirmed while the store was unavailable may not be in the log yet. Only
+    // an instance that knows the whole partition can tell what is left of the budget.
+    if (!this->isComplete(partition) && !hasStoreSettled(this->storeHealth))
+        co_return Status(storeUnavailable("reservations made without the store may not be stored yet"));
     // A reservation that cannot be read back is useless here, but would use up the budget at all other instances.
     bool isKnown = this->reservationCursor(partition) || this->isComplete(partition);
     if (!isKnown)
--- a/src/ingress/holders.cpp
+++ b/src/ingress/holders.cpp
@@ -1,4 +1,5 @@
 #include "ingress_p.h"
+#include "storesettled_p.h"
 
 #include <algorithm>
 
@@ -10,8 +11,6 @@
 constexpr Milliseconds noticeTimeout { 900 };
 // Delay before an instance loads a partition that it has begun to hold, so that the membership can settle.
 constexpr Milliseconds membershipSettleTime { 400 };
-// Time after the store has become available again in which instances store the copies that they hold for others.
-constexpr Milliseconds storeCatchUpTime { 1500 };
 constexpr Milliseconds loadRetryDelay { 200 };
 // Timeout of a request for a partition, or for a page of its turns, from another holder.
 constexpr Milliseconds partitionRequestTimeout { 300 };
@@ -171,8 +170,7 @@
     // instance, which is the holder by then.
     TurnTakeover takeover;
     while (isHeld()) {
-        bool isStoreAvailable
-            = this->storeHealth.isReachable() && this->storeHealth.timeSinceFailure() > storeCatchUpTime;
+        bool isStoreAvailable = hasStoreSettled(this->storeHealth);
         bool isKnown = this->isComplete(partition);
         if (!isKnown && isStoreAvailable) {
             isKnown = co_await this->loadReservations(executor, partition);
--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -192,6 +192,46 @@
     REQUIRE(eventually([&] { return programs() == 1; }));
 }
 
+// Guards against a budget that is granted twice: right after an outage, the log does not contain yet what the holders
+// of the failure domains have confirmed to each other without it.
+TEST_CASE("after a store outage an instance that does not know the partition reserves nothing of a spent budget")
+{
+    LateDomain late;
+    auto& deployment = late.deployment;
+    const auto third = late.startThird();
+    const auto fourth = deployment.startReady("n4", false, "a");
+    deployment.fakeStore.setMode(FakeStore::Mode::Refusing);
+    const std::vector<std::string> programs { "p1", "p2", "p3", "p4" };
+    deployment.failStoreCall();
+    const auto isSpent = [&](const std::string& program) {
+        return deployment.send(*late.first, budgetedTurn("t-" + program, program, "30")).second.status == 200;
+    };
+    for (const auto& program : programs)
+        REQUIRE(eventually([&] { return isSpent(program); }));
+    deployment.fakeStore.setMode(FakeStore::Mode::Serving);
+    RpcClient peer(deployment.runtime, {});
+    const auto begins = [&](const std::string& program, std::uint64_t hold) {
+        BeginTurnRequest request;
+        request.program = idFromName<ProgramId>("w/" + program);
+        request.workspace = "w";
+        request.hold = { hold };
+        request.budget = TokenCount { 30 };
+        request.maxTokens = TokenCount { 30 };
+        request.answerTimeout = Milliseconds(500);
+        request.timeLeft = Milliseconds(500);
+        auto done = std::make_shared<std::promise<bool>>();
+        peer.call(fourth->peerAddress(), request, Milliseconds(1000), [done](const Result<Message>& answer, bool) {
+            done->set_value(answer && std::holds_alternative<BeginTurnReply>(answer.value()));
+        });
+        return done->get_future().get();
+    };
+    std::uint64_t hold = 1;
+    for (int round = 0; round < 5; ++round) {
+        for (const auto& program : programs)
+            CHECK_FALSE(begins(program, hold++));
+    }
+}
+
 // Guards against unstored turns that a restarted holder never gets because they exceed the size of one message.
 TEST_CASE("an instance that starts while the store is away takes all unstored turns, however many")
 {
