Count a partition as known only with its unstored turns, in smaller pages

Change: pages of 512 KiB, and a partition is complete only when the turns of all other holders have been taken, as before the pages.

--- a/src/ingress/holders.cpp
+++ b/src/ingress/holders.cpp
@@ -14,8 +14,9 @@
 constexpr Milliseconds loadRetryDelay { 200 };
 // Timeout of a request for a partition, or for a page of its turns, from another holder.
 constexpr Milliseconds partitionRequestTimeout { 300 };
-// Maximum total size of the turns in one message to another holder, below the limit of a message between instances.
-constexpr std::size_t maxTurnPageBytes = std::size_t { 3 } * 1024 * 1024;
+// Maximum total size of the turns in one message to another holder. Small enough to arrive within
+// `partitionRequestTimeout` also when instances are busy.
+constexpr std::size_t maxTurnPageBytes = std::size_t { 512 } * 1024;
 // Minimum interval between two messages with all reservations that an instance knows. Short enough for two of them
 // within most outages of the store.
 constexpr Milliseconds shareInterval { 2000 };
@@ -182,10 +183,10 @@
             hasTurns = co_await this->takeTurnsFromHolders(executor, partition, takeover);
         if (!isKnown)
             isKnown = co_await this->loadFromHolders(executor, partition);
-        if (isKnown)
+        if (isKnown && hasTurns) {
             this->markComplete(partition, since);
-        if (isKnown && hasTurns)
             co_return;
+        }
         co_await sleepFor(executor, loadRetryDelay);
     }
 }
