--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -63,7 +63,7 @@
 
     // Set before the first process starts; called with each append of the system.
     std::function<Fate(const Append&)> onAppend;
-    // Whether the store answers nobody at all.
+    // Whether the store is down: it does nothing with a request and answers nobody.
     std::atomic<bool> isSilent = false;
 
 private:
@@ -107,8 +107,12 @@
     {
         const auto never = Clock::now() + std::chrono::hours(1);
         while (auto request = channel.read(never)) {
-            while (this->isSilent)
-                std::this_thread::sleep_for(Millis(20));
+            // A store that is down does nothing with a request, and the channel returns nothing further.
+            if (this->isSilent) {
+                while (!channel.isClosed())
+                    std::this_thread::sleep_for(Millis(20));
+                return;
+            }
             std::this_thread::sleep_for(Millis(2));
             std::string answer;
             const auto path = request->path();
@@ -126,8 +130,6 @@
                     std::this_thread::sleep_for(Millis(20));
                 return;
             }
-            while (this->isSilent)
-                std::this_thread::sleep_for(Millis(20));
             if (!channel.send(answer))
                 return;
         }
