--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -217,7 +217,7 @@
             const int log = open(instance.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(log, 1);
             dup2(log, 2);
-            // Ends with this stand-in, however that ends.
+            // Ends with the thread that started it, which is the main thread, however that ends.
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             setenv("PERIDOTRAMP_BOOT", instance.settings.c_str(), 1);
             execl("target/peridot-ingress", "target/peridot-ingress", nullptr);
