Delete stored turns by what the store says, not by what one instance remembers

Cause: each instance that had a stored turn in memory deleted it from the store when its own copy expired, 60 s after it got it. The instances at which the conversation went on kept the turn only in their memory. After their restart nobody had it.

Change: instances only drop expired turns from memory. A turn that continues one of another program stores a small reference in the partition of that turn. An instance reads a partition again when a turn is asked for that it has dropped. A turn in progress extends the retention of its predecessors in memory. The fix holds for all instances and programs, because the decision uses only the records of the partition.

Ruled out: a lookup that reads the wrong partition (the record was gone from the store), and a store that lost it.

--- a/include/peridotramp/conversations.h
+++ b/include/peridotramp/conversations.h
@@ -14,6 +14,8 @@
     std::string input;
     /// Data of the answer's events, each followed by a line feed.
     std::string output;
+    /// Program that ran the turn. It determines the partition of the metadata store that contains the turn.
+    ProgramId program {};
 
     bool operator==(const ConversationTurn&) const = default;
 };
@@ -27,7 +29,7 @@
     std::string missingTurn;
 };
 
-/// A turn whose retention has ended, with the partition of the metadata store that contains it.
+/// A turn that was dropped from memory, with the partition of the metadata store that contains it.
 struct ExpiredTurn {
     std::string id;
     StorePartition partition;
@@ -36,12 +38,12 @@
 /// Turns that this instance has in memory.
 class ConversationTable {
 public:
-    /// Adds a turn that is kept until `keepUntil`, or extends the retention of a known one. `storedIn` is set when this
-    /// instance has to delete the turn from that partition of the metadata store when it expires.
+    /// Adds a turn that is kept until `keepUntil`, or extends the retention of a known one. `storedIn` is the partition
+    /// of the metadata store that contains the turn, if it is known to be there.
     void add(ConversationTurn turn, TimePoint keepUntil, std::optional<StorePartition> storedIn);
     /// Returns a turn and extends its retention; null when it is not known.
     SharedTurn find(std::string_view id, TimePoint keepUntil);
-    /// Drops turns whose retention has ended and returns those that have to be deleted from the metadata store.
+    /// Drops turns whose retention has ended and returns those of them that the metadata store may still contain.
     std::vector<ExpiredTurn> expire(TimePoint now);
     std::size_t size() const { return this->turns.size(); }
     ByteCount bytes() const { return this->totalBytes; }
@@ -57,6 +59,31 @@
     ByteCount totalBytes;
 };
 
+/// Determines when the turns in one partition of the metadata store may be deleted.
+///
+/// A turn is needed until the retention of the last turn that continues it has ended. A conversation may go on at any
+/// instance, so the records of the partition itself decide, and not what one instance has in memory.
+class StoredTurnRetention {
+public:
+    /// Notes a stored turn, which keeps itself and the turns before it until `keepUntil`.
+    void add(std::string id, std::string previous, TimePoint keepUntil);
+    /// Notes that a turn has been deleted.
+    void remove(std::string_view id);
+    /// Forgets all turns, because the partition has to be read from its start.
+    void clear() { this->turns.clear(); }
+    /// Returns the turns that were needed until `time` at most.
+    std::vector<std::string> neededUntil(TimePoint time) const;
+    std::size_t size() const { return this->turns.size(); }
+
+private:
+    struct Entry {
+        std::string previous;
+        TimePoint keepUntil;
+    };
+
+    std::map<std::string, Entry, std::less<>> turns;
+};
+
 using TurnLookup = std::function<SharedTurn(std::string_view id)>;
 
 /// Returns the history that ends with the turn `id`.
--- a/include/peridotramp/store.h
+++ b/include/peridotramp/store.h
@@ -111,6 +111,19 @@
 asio::awaitable<Result<Offset>> readNewest(asio::any_io_executor executor, const MetadataStore& store, StoreTopic topic,
     StorePartition partition, std::function<void(std::vector<StoreRecord>)> onPage);
 
+/// Callbacks of `readToEnd`.
+struct StoreReadHooks {
+    /// Called before the newest records of all keys are read, because no offset is known or the store has deleted
+    /// records at it. Optional.
+    std::function<void()> onRestart {};
+    std::function<void(const std::vector<StoreRecord>&)> onRecords {};
+};
+
+/// Reads a partition from an offset, or from its start, up to the end that it has at that time. Returns the offset from
+/// which to continue. Runs on `executor`.
+asio::awaitable<Result<Offset>> readToEnd(asio::any_io_executor executor, const MetadataStore& store, StoreTopic topic,
+    StorePartition partition, std::optional<Offset> from, StoreReadHooks hooks);
+
 /// Appends the records of many callers in batches: records written while an append is in progress go into the next one.
 /// Thread-safe.
 class StoreWriter {
--- a/src/ingress/beginturn.cpp
+++ b/src/ingress/beginturn.cpp
@@ -91,6 +91,9 @@
             = co_await this->historyOf(executor, request.program, request.previousTurn, request.workspace, deadline);
         if (!history)
             co_return Result<BeginTurnReply>(history.error());
+        // The retention of the earlier turns may end while this one is in progress.
+        for (const auto& turn : *history)
+            this->findTurn(turn->id, now + request.timeLeft + cachedTurnLifetime);
     }
     BeginTurnReply reply;
     if (request.budget) {
--- a/src/ingress/dispatch.cpp
+++ b/src/ingress/dispatch.cpp
@@ -403,7 +403,7 @@
     // The next turn may refer to this one as soon as its response ends, so it has to be persisted before that.
     if (this->route.keepsHistory && !this->request.lastEventId) {
         ConversationTurn turn { this->request.id, this->request.previousTurn, this->workspace,
-            std::move(this->request.body), std::move(this->output) };
+            std::move(this->request.body), std::move(this->output), this->program };
         const auto persistDeadline = std::min(this->deadline, RuntimeClock::now() + persistTimeout);
         const bool persisted = co_await this->ingress->persistTurn(
             this->executor, this->program, turn, this->route.retention, persistDeadline);
--- a/src/ingress/history.cpp
+++ b/src/ingress/history.cpp
@@ -93,6 +93,12 @@
 void Ingress::Impl::applyTurns(StorePartition partition, const std::vector<StoreRecord>& records)
 {
     const auto keepFor = this->longestRetention();
+    // Turns that were deleted from the store, or are in memory again.
+    this->turnCursors.with(
+        static_cast<std::uint64_t>(partition.value), [&](std::map<StorePartition, TurnCursor>& shard) {
+            for (const auto& record : records)
+                shard[partition].dropped.erase(record.key);
+        });
     for (const auto& record : records) {
         if (record.value.empty())
             continue;
@@ -104,8 +110,15 @@
     }
 }
 
-asio::awaitable<bool> Ingress::Impl::readTurns(asio::any_io_executor executor, StorePartition partition)
+asio::awaitable<bool> Ingress::Impl::readTurns(
+    asio::any_io_executor executor, StorePartition partition, std::string wanted)
 {
+    const auto hash = static_cast<std::uint64_t>(partition.value);
+    this->turnCursors.with(hash, [&](std::map<StorePartition, TurnCursor>& shard) {
+        auto& cursor = shard[partition];
+        if (cursor.dropped.contains(wanted))
+            cursor = {};
+    });
     const std::function<asio::awaitable<bool>()> read
         = [this, executor, partition]() -> asio::awaitable<bool> { return this->readNewTurns(executor, partition); };
     const bool done = co_await this->turnReads.run(executor, partition, read);
@@ -114,44 +127,33 @@
 
 asio::awaitable<bool> Ingress::Impl::readNewTurns(asio::any_io_executor executor, StorePartition partition)
 {
-    const auto hash = static_cast<std::uint64_t>(partition.value);
-    const auto cursor = [&] {
-        return this->turnCursors.with(hash, [&](std::map<StorePartition, Offset>& shard) -> std::optional<Offset> {
-            const auto found = shard.find(partition);
-            return found == shard.end() ? std::nullopt : std::optional(found->second);
-        });
+    const auto withCursor = [&](const auto& function) {
+        return this->turnCursors.with(static_cast<std::uint64_t>(partition.value),
+            [&](std::map<StorePartition, TurnCursor>& shard) { return function(shard[partition]); });
     };
-    const auto advance = [&](Offset next) {
-        this->turnCursors.with(hash, [&](std::map<StorePartition, Offset>& shard) { shard[partition] = next; });
+    StoreReadHooks hooks;
+    std::optional<Offset> from;
+    hooks.onRestart = [&] {
+        from.reset();
+        withCursor([](TurnCursor& cursor) { cursor = {}; });
+        log(LogLevel::Info, "reading all stored turns", { { "partition", partition.value } });
     };
-    const auto apply = [&](const std::vector<StoreRecord>& records) { this->applyTurns(partition, records); };
-    while (true) {
-        const auto from = cursor();
-        if (!from) {
-            const std::function<void(std::vector<StoreRecord>)> onPage = apply;
-            const auto end = co_await readNewest(executor, this->store, StoreTopic::Turns, partition, onPage);
-            if (!end)
-                co_return false;
-            advance(*end);
-            log(LogLevel::Info, "stored turns read", { { "partition", partition.value } });
-            co_return true;
-        }
-        const std::function<void(MetadataStore::ReadHook)> start = [&](MetadataStore::ReadHook hook) {
-            this->store.read(StoreTopic::Turns, partition, *from, Milliseconds(0), std::move(hook));
-        };
-        const auto read = co_await awaitResult<Result<StoreRead>>(executor, RuntimeClock::now() + Seconds(3), start);
-        if (!read || !*read)
+    hooks.onRecords = [&](const std::vector<StoreRecord>& records) { this->applyTurns(partition, records); };
+    bool isCurrent = false;
+    while (!isCurrent) {
+        from = withCursor([](const TurnCursor& cursor) { return cursor.next; });
+        const auto end = co_await readToEnd(executor, this->store, StoreTopic::Turns, partition, from, hooks);
+        if (!end)
             co_return false;
-        const auto& content = read->value();
-        if (content.gap) {
-            this->turnCursors.with(hash, [&](std::map<StorePartition, Offset>& shard) { shard.erase(partition); });
-            continue;
-        }
-        apply(content.records);
-        advance(content.next);
-        if (content.next >= content.end)
-            co_return true;
+        // A search for a turn that was dropped from memory may have reset the cursor meanwhile.
+        isCurrent = withCursor([&](TurnCursor& cursor) {
+            if (cursor.next != from)
+                return false;
+            cursor.next = *end;
+            return true;
+        });
     }
+    co_return true;
 }
 
 asio::awaitable<HistoryReply> Ingress::Impl::answerHistory(asio::any_io_executor executor, HistoryRequest request)
@@ -168,7 +170,7 @@
         co_return reply;
     bool all = true;
     for (const auto partition : this->ownPartitions())
-        all = co_await this->readTurns(executor, partition) && all;
+        all = co_await this->readTurns(executor, partition, request.turn) && all;
     reply = collect();
     reply.hasReadPartitions = all;
     co_return reply;
@@ -217,7 +219,7 @@
         executor, this->holdersInAllDomains(partition), turn, HistoryScope::Memory, deadline, ignored);
     if (isLocal())
         co_return TurnSearchResult::Found;
-    if (!co_await this->readTurns(executor, partition))
+    if (!co_await this->readTurns(executor, partition, turn))
         reasons.unreadPartitions.insert(partition);
     if (isLocal())
         co_return TurnSearchResult::Found;
@@ -237,7 +239,7 @@
     if (isLocal())
         co_return TurnSearchResult::Found;
     for (const auto own : this->ownPartitions()) {
-        if (!co_await this->readTurns(executor, own))
+        if (!co_await this->readTurns(executor, own, turn))
             reasons.unreadPartitions.insert(own);
     }
     if (isLocal())
@@ -257,9 +259,12 @@
     const auto place = [&](const std::string& missing) {
         const auto partition = this->partitionOf(program);
         const auto cursor = this->turnCursors.with(
-            static_cast<std::uint64_t>(partition.value), [&](const std::map<StorePartition, Offset>& shard) {
+            static_cast<std::uint64_t>(partition.value), [&](const std::map<StorePartition, TurnCursor>& shard) {
                 const auto found = shard.find(partition);
-                return found == shard.end() ? std::string("not read") : fmt::format("read to {}", found->second.value);
+                const bool isRead = found != shard.end() && found->second.next;
+                return isRead ? fmt::format("read to {}, {} dropped from memory", found->second.next->value,
+                                    found->second.dropped.size())
+                              : std::string("not read");
             });
         const auto sinceFailure = this->storeHealth.timeSinceFailure();
         const auto age = [](Duration time) { return std::chrono::duration_cast<Milliseconds>(time).count(); };
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -239,6 +239,23 @@
     std::string key;
 };
 
+/// What this instance has read of the stored turns of a partition.
+struct TurnCursor {
+    /// Offset up to which the partition has been read; empty before it has been read for the first time.
+    std::optional<Offset> next;
+    /// Turns before `next` that were dropped from memory and that the store may still contain.
+    std::set<std::string, std::less<>> dropped;
+};
+
+/// A partition whose expired turns this instance deletes from the store.
+struct CleanedPartition {
+    /// Since when this instance has been the one that deletes them.
+    TimePoint since {};
+    /// Offset up to which `retention` includes the records; empty before the first read.
+    std::optional<Offset> next;
+    StoredTurnRetention retention;
+};
+
 /// Progress of taking over the turns of a partition that the holders of other failure domains could not store yet.
 struct TurnTakeover {
     struct Holder {
@@ -388,8 +405,8 @@
     StoreWriter& turnWriter(StorePartition partition);
     /// Returns a turn that is in the memory of this instance, and keeps it there at least until `keepUntil`.
     SharedTurn findTurn(std::string_view id, TimePoint keepUntil = {});
-    /// Adds a turn to the memory of this instance. `stored` is the partition of the store from which this instance has
-    /// to delete the turn when it expires.
+    /// Adds a turn to the memory of this instance. `stored` is the partition of the store that contains the turn, if it
+    /// is known to be there.
     void addTurn(ConversationTurn turn, std::optional<StorePartition> stored, Milliseconds keepFor);
     /// Persists a turn: in the store, or while the store is unavailable at instances of two other failure domains.
     /// Returns false when neither was possible in time; the answer to the caller must then not be completed.
@@ -398,10 +415,24 @@
     /// Copies a turn to instances of two other failure domains; returns whether both have confirmed it.
     asio::awaitable<bool> copyTurn(
         asio::any_io_executor executor, ProgramId program, const ConversationTurn& turn, Milliseconds keepFor);
+    /// Has the store keep the turns before `turn` that are in partitions of other programs: their partitions do not
+    /// show that the conversation goes on.
+    void keepTurnsOfOtherPrograms(const ConversationTurn& turn);
     void expireTurns();
     /// Returns the longest retention of turns among the routes of the desired state.
     Milliseconds longestRetention();
 
+    // retention.cpp
+    void startTurnRetention();
+    /// Returns the partitions whose expired turns this instance deletes: one instance of the whole fleet reads each
+    /// partition for that.
+    std::vector<StorePartition> partitionsToClean();
+    /// Deletes expired turns from all partitions that this instance cleans.
+    asio::awaitable<void> deleteExpiredTurns(asio::any_io_executor executor);
+    /// Reads a partition up to its end, then deletes the turns that no conversation needs any longer.
+    asio::awaitable<void> cleanPartition(
+        asio::any_io_executor executor, StorePartition partition, CleanedPartition& cleaned);
+
     // history.cpp
     /// Returns the history up to a turn, which is searched at all instances and in the store, or the error with which
     /// the request is refused.
@@ -426,8 +457,9 @@
     /// Returns the partitions of which this instance is the holder in its failure domain.
     std::vector<StorePartition> ownPartitions();
     void applyTurns(StorePartition partition, const std::vector<StoreRecord>& records);
-    /// Reads the turns of a partition that this instance has not read yet, up to the current end of the partition.
-    asio::awaitable<bool> readTurns(asio::any_io_executor executor, StorePartition partition);
+    /// Reads the turns of a partition that this instance has not read yet, up to the current end of the partition; all
+    /// of them if `wanted` was read before and dropped from memory.
+    asio::awaitable<bool> readTurns(asio::any_io_executor executor, StorePartition partition, std::string wanted);
     asio::awaitable<bool> readNewTurns(asio::any_io_executor executor, StorePartition partition);
     asio::awaitable<HistoryReply> answerHistory(asio::any_io_executor executor, HistoryRequest request);
 
@@ -542,9 +574,12 @@
     /// By partition.
     PartitionWriters turnWriters {};
     PartitionWriters tokenWriters {};
-    /// By partition: the offset up to which this instance has read the stored turns.
-    Sharded<std::map<StorePartition, Offset>> turnCursors {};
+    /// By partition.
+    Sharded<std::map<StorePartition, TurnCursor>> turnCursors {};
     SingleFlight<StorePartition> turnReads {};
+    /// Whether expired turns are being deleted; the coroutine that does so owns `cleanedPartitions` meanwhile.
+    std::atomic<bool> isCleaning = false;
+    std::map<StorePartition, CleanedPartition> cleanedPartitions {};
     /// By program.
     Sharded<TokenShard> tokens {};
     /// By partition.
--- a/src/ingress/turns.cpp
+++ b/src/ingress/turns.cpp
@@ -16,6 +16,8 @@
 // Number of other failure domains that must have a copy, so that one remains when the other is lost.
 constexpr std::size_t requiredCopyDomains = 2;
 constexpr Milliseconds expiryPeriod { 5000 };
+// Maximum number of turns of one partition that were dropped from memory and whose ids are remembered.
+constexpr std::size_t maxDroppedTurns = 10'000;
 // Retention of stored turns that are read before the desired state is known.
 constexpr Seconds defaultRetention { 60 };
 
@@ -72,6 +74,7 @@
 void Ingress::Impl::startTurns()
 {
     this->runtime.every(expiryPeriod, [this] { this->expireTurns(); });
+    this->startTurnRetention();
 }
 
 Milliseconds Ingress::Impl::longestRetention()
@@ -110,6 +113,7 @@
             { { "request", turn.id }, { "bytes", std::uint64_t { encoded.size() } } });
         co_return false;
     }
+    this->keepTurnsOfOtherPrograms(turn);
     const auto begin = RuntimeClock::now();
     auto& writer = this->turnWriter(this->partitionOf(program));
     Mailbox<bool> stored(executor);
@@ -132,16 +136,43 @@
     co_return persisted;
 }
 
+void Ingress::Impl::keepTurnsOfOtherPrograms(const ConversationTurn& turn)
+{
+    const auto history = collectHistory(turn.previous, [this](std::string_view id) { return this->findTurn(id); });
+    const auto own = this->partitionOf(turn.program);
+    // The newest turn in each partition keeps the turns before it there.
+    std::map<StorePartition, std::string> newest;
+    for (const auto& earlier : history.turns)
+        newest[this->partitionOf(earlier->program)] = earlier->id;
+    newest.erase(own);
+    for (const auto& [partition, id] : newest) {
+        // A turn without content that continues the other program's turn. Each later turn replaces it.
+        const ConversationTurn reference { fmt::format("{}/{:x}", id, turn.program.value), id, {}, {}, {},
+            turn.program };
+        this->turnWriter(partition).write({ reference.id, encodeTurn(reference), {} }, nullptr);
+    }
+}
+
 void Ingress::Impl::expireTurns()
 {
     const auto now = RuntimeClock::now();
-    std::map<StorePartition, std::vector<StoreRecord>> dropped;
+    std::map<StorePartition, std::vector<std::string>> dropped;
     this->turns.forEach([&](ConversationTable& shard) {
         for (auto& expired : shard.expire(now))
-            dropped[expired.partition].push_back({ std::move(expired.id), {}, {} });
+            dropped[expired.partition].push_back(std::move(expired.id));
     });
-    for (auto& [partition, records] : dropped)
-        this->turnWriter(partition).write(std::move(records));
+    for (auto& [partition, ids] : dropped) {
+        const auto hash = static_cast<std::uint64_t>(partition.value);
+        this->turnCursors.with(hash, [&](std::map<StorePartition, TurnCursor>& shard) {
+            auto& cursor = shard[partition];
+            if (!cursor.next)
+                return;
+            std::ranges::move(ids, std::inserter(cursor.dropped, cursor.dropped.end()));
+            // The next search reads the whole partition again.
+            if (cursor.dropped.size() > maxDroppedTurns)
+                cursor = {};
+        });
+    }
 }
 
 } // namespace peridotramp
--- a/src/nodes/messages_p.h
+++ b/src/nodes/messages_p.h
@@ -230,7 +230,7 @@
 
 template <typename Archive> void serialize(Archive& archive, ConversationTurn& turn)
 {
-    archive(turn.id, turn.previous, turn.workspace, turn.input, turn.output);
+    archive(turn.id, turn.previous, turn.workspace, turn.input, turn.output, turn.program);
 }
 
 template <typename Archive> void serialize(Archive& archive, FleetMember& member)
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -133,6 +133,36 @@
     }
 }
 
+asio::awaitable<Result<Offset>> readToEnd(asio::any_io_executor executor, const MetadataStore& store, StoreTopic topic,
+    StorePartition partition, std::optional<Offset> from, StoreReadHooks hooks)
+{
+    while (true) {
+        if (!from) {
+            if (hooks.onRestart)
+                hooks.onRestart();
+            const auto end = co_await readNewest(executor, store, topic, partition, hooks.onRecords);
+            co_return end;
+        }
+        const std::function<void(MetadataStore::ReadHook)> start = [&](MetadataStore::ReadHook hook) {
+            store.read(topic, partition, *from, Milliseconds(0), std::move(hook));
+        };
+        const auto read = co_await awaitResult<Result<StoreRead>>(executor, RuntimeClock::now() + maxCallWait, start);
+        if (!read || !*read)
+            co_return read ? Result<Offset>(read->error()) : Result<Offset>(Error { ErrorKind::LogUnavailable });
+        const auto& content = read->value();
+        if (content.gap) {
+            from.reset();
+            continue;
+        }
+        hooks.onRecords(content.records);
+        // A store that lags behind may report an offset before what was read earlier.
+        const bool isAtEnd = content.next >= content.end || content.next <= *from;
+        from = std::max(*from, content.next);
+        if (isAtEnd)
+            co_return Result<Offset>(*from);
+    }
+}
+
 void followStore(
     const asio::any_io_executor& executor, const MetadataStore& store, StoreFollower::Init init, StoreFollower follower)
 {
--- a/tests/ingress/fakestore.h
+++ b/tests/ingress/fakestore.h
@@ -2,6 +2,7 @@
 
 #include "peridotramp/store.h"
 
+#include <algorithm>
 #include <list>
 
 namespace peridotramp {
@@ -44,6 +45,14 @@
         return count;
     }
 
+    /// Returns whether a partition of the topic has a newest record with the key.
+    bool contains(StoreTopic topic, const std::string& key)
+    {
+        const std::scoped_lock lock(this->mutex);
+        return std::ranges::any_of(this->logs,
+            [&](const auto& entry) { return entry.first.first == topic && entry.second.newest.contains(key); });
+    }
+
     MetadataStore client()
     {
         MetadataStore store;
