Send each confirmed reservation to the holders of all failure domains

Cause: a holder called itself complete for good once it had loaded its partition, and did not follow the log afterwards. The holders of the other domains never knew the reservations that the killed one had confirmed through the store, and told its successor that they were complete.

Change: after the store has confirmed a reservation its owner sends it to the holders of the other domains while the record is read back, and waits for them for at most 150 ms. Holders that do not answer, that have moved or that are not known yet get all reservations of the partition again until they confirm. A new holder reads its partition once more after all instances know it. It is right because every reservation is known in each domain before a token of it is handed out, so the holders that remain can answer for it. The repeated messages with all reservations during an outage, which came too late, are removed.

The test that REQUIREd that no other domain knows a reservation before the store is lost stated the fault; its replacement requires the reservation to be known, without a lost store, as soon as the turn is answered, for each turn of a program.

Ruled out: the order of kill and outage in the test, and a reservation that was never confirmed (its record is in the log).

--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -317,8 +317,8 @@
     std::vector<TokenReservation> reservations;
 };
 
-/// Sends the holders of other failure domains the recently confirmed reservations when the metadata store becomes
-/// unavailable.
+/// Sends another holder of a partition reservations that the metadata store has confirmed. Answered by `DoneMessage`,
+/// or by `NotReady` from an instance that does not hold their partitions.
 struct ReservationsNotice {
     std::vector<TokenReservation> reservations;
 };
--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -22,6 +22,9 @@
 // store usually answers within a few milliseconds.
 constexpr Milliseconds storeConfirmTimeout { 40 };
 constexpr Milliseconds holderConfirmTimeout { 150 };
+// Interval and timeout of the messages with all reservations of a partition to a holder that may not know them.
+constexpr Milliseconds pendingCopyPeriod { 500 };
+constexpr Milliseconds pendingCopyTimeout { 900 };
 
 // Returns the name of the instance whose incarnation holds a reservation.
 std::string instanceOf(const std::string& owner) { return owner.substr(0, owner.rfind('/')); }
@@ -67,6 +70,7 @@
 void Ingress::Impl::startBudgets()
 {
     this->runtime.every(expiryPeriod, [this] { this->expireBudgets(); });
+    this->runtime.every(pendingCopyPeriod, [this] { this->sendPendingReservationCopies(); });
 }
 
 void Ingress::Impl::applyReservations(const std::vector<StoreRecord>& records)
@@ -251,7 +255,6 @@
     std::string missing = "the store has not confirmed it";
     // While the store is slow or unavailable, the holders of the other failure domains record the reservation.
     if (!appended || !*appended) {
-        this->shareReservations();
         missing = co_await this->confirmByHolders(executor, reservation, deadline);
         if (missing.empty()) {
             this->metrics.count("reservations_by_keepers");
@@ -262,13 +265,84 @@
             appended = co_await appends.next(deadline);
     }
     if (appended && *appended) {
+        const Mailbox<bool> copied(executor);
+        const auto copies = this->copyReservation(reservation, [copied] { copied.push(true); });
+        const auto copyDeadline = std::min(deadline, RuntimeClock::now() + holderConfirmTimeout);
         const bool isRead = co_await this->readReservationsThrough(executor, partition, appended->value());
         if (isRead)
             missing.clear();
+        for (std::size_t index = 0; index < copies; ++index)
+            co_await copied.next(copyDeadline);
     }
     co_return missing;
 }
 
+std::size_t Ingress::Impl::copyReservation(const TokenReservation& reservation, const std::function<void()>& onDone)
+{
+    const auto partition = this->partitionOf(reservation.program);
+    auto holders = this->holdersInOtherDomains(partition);
+    if (auto own = this->holderOf(reservation.program))
+        holders.push_back(std::move(*own));
+    const auto setPending = [this, partition](const std::string& domain) {
+        const std::scoped_lock lock(this->pendingCopiesMutex);
+        this->pendingCopies.insert({ domain, partition });
+    };
+    for (const auto& [domain, region] : this->init.regions) {
+        if (domain != this->init.domain && std::ranges::find(holders, domain, &FleetMember::domain) == holders.end())
+            setPending(domain);
+    }
+    {
+        // A holder that lacks earlier reservations gets this one with them.
+        const std::scoped_lock lock(this->pendingCopiesMutex);
+        std::erase_if(holders,
+            [&](const FleetMember& holder) { return this->pendingCopies.contains({ holder.domain, partition }); });
+    }
+    callMembers<DoneMessage>(this->fleet, holders, ReservationsNotice { { reservation } }, holderConfirmTimeout,
+        [setPending, onDone](const FleetMember& holder, const std::optional<DoneMessage>& reply) {
+            if (!reply)
+                setPending(holder.domain);
+            onDone();
+        });
+    return holders.size();
+}
+
+void Ingress::Impl::sendPendingReservationCopies()
+{
+    std::set<PendingReservationCopy> pending;
+    {
+        const std::scoped_lock lock(this->pendingCopiesMutex);
+        pending.swap(this->pendingCopies);
+    }
+    const auto impl = this->shared_from_this();
+    for (const auto& copy : pending) {
+        const auto setPending = [impl, copy] {
+            const std::scoped_lock lock(impl->pendingCopiesMutex);
+            impl->pendingCopies.insert(copy);
+        };
+        const auto order = this->holderOrder(copy.partition, copy.domain);
+        if (order.empty()) {
+            setPending();
+            continue;
+        }
+        // Nothing is missing once this instance is the holder itself.
+        if (order.front().name == this->init.name)
+            continue;
+        callMembers<DoneMessage>(this->fleet, { order.front() },
+            ReservationsNotice { this->reservationsOf(copy.partition) }, pendingCopyTimeout,
+            [setPending](const FleetMember&, const std::optional<DoneMessage>& reply) {
+                if (!reply)
+                    setPending();
+            });
+    }
+}
+
+bool Ingress::Impl::applyReservationsNotice(const std::vector<TokenReservation>& reservations)
+{
+    this->applyReservations(reservations);
+    return std::ranges::all_of(reservations,
+        [&](const TokenReservation& reservation) { return this->isHolder(this->partitionOf(reservation.program)); });
+}
+
 asio::awaitable<Status> Ingress::Impl::reserveTokens(
     asio::any_io_executor executor, ProgramId program, TokenCount maxTokens, TimePoint deadline)
 {
--- a/src/ingress/holders.cpp
+++ b/src/ingress/holders.cpp
@@ -17,9 +17,8 @@
 // Maximum total size of the turns in one message to another holder. Small enough to arrive within
 // `partitionRequestTimeout` also when instances are busy.
 constexpr std::size_t maxTurnPageBytes = std::size_t { 512 } * 1024;
-// Minimum interval between two messages with all reservations that an instance knows. Short enough for two of them
-// within most outages of the store.
-constexpr Milliseconds shareInterval { 2000 };
+// Time after which all instances know a new holder, so that they send their reservations to it.
+constexpr Seconds holderKnownTime { 3 };
 
 // Sends the turns of a partition that are not stored yet to its new holder, as this instance may exit before the store
 // is available again.
@@ -106,6 +105,12 @@
     return found != this->heldPartitions.end() && found->second.complete;
 }
 
+bool Ingress::Impl::isHolder(StorePartition partition)
+{
+    const std::scoped_lock lock(this->heldPartitionsMutex);
+    return this->heldPartitions.contains(partition);
+}
+
 void Ingress::Impl::updateHeldPartitions()
 {
     const auto members = this->holderCandidates(this->init.domain);
@@ -185,10 +190,14 @@
             isKnown = co_await this->loadFromHolders(executor, partition);
         if (isKnown && hasTurns) {
             this->markComplete(partition, since);
-            co_return;
+            break;
         }
         co_await sleepFor(executor, loadRetryDelay);
     }
+    // Reservations that were being confirmed while the partition was loaded may have been sent to the previous holder.
+    co_await sleepFor(executor, holderKnownTime);
+    if (isHeld() && hasStoreSettled(this->storeHealth))
+        co_await this->loadReservations(executor, partition);
 }
 
 void Ingress::Impl::markComplete(StorePartition partition, TimePoint since)
@@ -299,26 +308,6 @@
     return reply;
 }
 
-void Ingress::Impl::shareReservations()
-{
-    const auto now = RuntimeClock::now();
-    auto sharedAt = this->reservationsSharedAt.load();
-    const bool isDue = sharedAt == TimePoint {} || now - sharedAt >= shareInterval;
-    if (!isDue || !this->reservationsSharedAt.compare_exchange_strong(sharedAt, now))
-        return;
-    std::map<Address, std::vector<TokenReservation>> notices;
-    for (const auto partition : this->ownPartitions()) {
-        if (!this->isComplete(partition))
-            continue;
-        const auto reservations = this->reservationsOf(partition);
-        for (const auto& holder : this->holdersInOtherDomains(partition))
-            std::ranges::copy(reservations, std::back_inserter(notices[holder.address]));
-    }
-    for (auto& [address, reservations] : notices)
-        this->fleet.call(address, ReservationsNotice { std::move(reservations) }, noticeTimeout,
-            [](const Result<Message>&, bool) { });
-}
-
 void Ingress::Impl::handOverReservations(StorePartition partition, const FleetMember& holder)
 {
     HandoverNotice notice { partition, this->reservationsOf(partition) };
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -256,6 +256,14 @@
     StoredTurnRetention retention;
 };
 
+/// A partition of which the holder in another failure domain may not know all reservations of this instance.
+struct PendingReservationCopy {
+    std::string domain;
+    StorePartition partition;
+
+    auto operator<=>(const PendingReservationCopy&) const = default;
+};
+
 /// Progress of taking over the turns of a partition that the holders of other failure domains could not store yet.
 struct TurnTakeover {
     struct Holder {
@@ -273,7 +281,8 @@
 /// turns of the partition's programs for the instances there.
 struct HeldPartition {
     TimePoint since {};
-    /// Whether this instance knows all reservations that instances of the failure domain have made.
+    /// Whether this instance knows all confirmed reservations: those that it has loaded from the store or from the
+    /// holders of the other failure domains, and those that their owners have sent to it since.
     bool complete = false;
 };
 
@@ -381,10 +390,11 @@
         asio::any_io_executor executor, StorePartition partition, FleetMember holder, TurnTakeover& takeover);
     TurnPageReply turnPage(const TurnPageRequest& request);
     PartitionReply describePartition(const PartitionRequest& request);
-    /// Sends the reservations that this instance knows to the holders of the other failure domains while the store does
-    /// not answer: no other instance knows those that the store confirmed last. Sends at most every two seconds,
-    /// however often it is called.
-    void shareReservations();
+    /// Whether this instance is the holder of a partition in its failure domain.
+    bool isHolder(StorePartition partition);
+    /// Applies reservations that another instance has confirmed. Returns whether this instance is the holder of their
+    /// partitions; otherwise the sender has to send them to another one.
+    bool applyReservationsNotice(const std::vector<TokenReservation>& reservations);
 
     // beginturn.cpp
     HoldId nextHold();
@@ -480,6 +490,13 @@
     /// string.
     asio::awaitable<std::string> confirmByHolders(
         asio::any_io_executor executor, TokenReservation reservation, TimePoint deadline);
+    /// Sends a reservation that the store has confirmed to the other holders of its partition. While the store is
+    /// unavailable they decide what is left of a budget, also after this instance has failed. `onDone` is called once
+    /// for each of the returned number of holders, on any thread. A holder that does not confirm gets the reservation
+    /// later.
+    std::size_t copyReservation(const TokenReservation& reservation, const std::function<void()>& onDone);
+    /// Sends the reservations of a partition again to holders that have not confirmed them.
+    void sendPendingReservationCopies();
     /// Handles a copy of a reservation that another failure domain sends while the store does not answer there.
     ReservationCopyReply handleReservationCopy(const TokenReservation& reservation);
     StoreWriter& tokenWriter(StorePartition partition);
@@ -536,8 +553,6 @@
     Metrics metrics {};
     RequestLog requestLog;
     StoreHealth storeHealth {};
-    // When reservations were last sent to the holders of the other failure domains.
-    std::atomic<TimePoint> reservationsSharedAt { TimePoint {} };
     HttpClient storeClient;
     HttpClient endpointClient;
     MetadataStore store;
@@ -589,6 +604,8 @@
     std::map<StorePartition, HeldPartition> heldPartitions {};
     // Names of the instances of the failure domain that could be holders at the last update.
     std::vector<std::string> holderCandidateNames {};
+    std::mutex pendingCopiesMutex {};
+    std::set<PendingReservationCopy> pendingCopies {};
     std::mutex copiesMutex {};
     std::deque<CopiedReservation> copiedReservations {};
     std::mutex recordsMutex {};
--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -164,8 +164,6 @@
     else
         this->allowances.release();
     this->updateHeldPartitions();
-    if (!this->storeHealth.isReachable())
-        this->shareReservations();
     this->updateReachability();
     if (!this->routingSnapshot()->table || !this->endpointsKnown)
         this->requestState();
@@ -285,8 +283,10 @@
         this->applyHandover(*handover);
         reply.send(DoneMessage {});
     } else if (const auto* notice = std::get_if<ReservationsNotice>(&message)) {
-        this->applyReservations(notice->reservations);
-        reply.send(DoneMessage {});
+        if (this->applyReservationsNotice(notice->reservations))
+            reply.send(DoneMessage {});
+        else
+            reply.send(ErrorMessage { { ErrorKind::NotReady, Outcome::NotRun, "not the holder of the partition" } });
     } else if (const auto* wanted = std::get_if<PartitionRequest>(&message)) {
         reply.send(this->describePartition(*wanted));
     } else if (const auto* page = std::get_if<TurnPageRequest>(&message)) {
--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -1,5 +1,6 @@
 #include "fixture.h"
 
+#include "peridotramp/fleet.h"
 #include "peridotramp/nodes.h"
 
 #include <boost/asio.hpp>
@@ -180,16 +181,68 @@
 }
 
 // Guards against tokens that are granted twice because the store and the only instance that knows their reservation
-// fail.
-TEST_CASE("an instance that loses the store sends its reservations to the holders of other failure domains")
+// fail at the same time.
+TEST_CASE("the holders of other failure domains know a reservation before the turn is answered")
 {
     LateDomain late;
     const auto programs
         = [&] { return boost::json::parse(late.second->dump()).as_object().at("programs").to_number<int>(); };
-    REQUIRE(late.deployment.send(*late.first, budgetedTurn("t1", "p1", "30")).second.status == 200);
     REQUIRE(programs() == 0);
-    late.deployment.failStoreCall();
-    REQUIRE(eventually([&] { return programs() == 1; }));
+    REQUIRE(late.deployment.send(*late.first, budgetedTurn("t1", "p1", "30")).second.status == 200);
+    REQUIRE(programs() == 1);
+    // It holds for each reservation of the program, not only for the first.
+    const auto partition = StorePartition { static_cast<std::int64_t>(idFromName<ProgramId>("w/p2").value % 2) };
+    for (int turn = 1; turn <= 4; ++turn) {
+        const auto id = "u" + std::to_string(turn);
+        REQUIRE(late.deployment.send(*late.first, budgetedTurn(id, "p2", "1000")).second.status == 200);
+        const auto known = callInstance<PartitionReply>(late.deployment, *late.second, PartitionRequest { partition });
+        const auto reserved
+            = std::ranges::find(known.reservations, idFromName<ProgramId>("w/p2"), &TokenReservation::program);
+        REQUIRE(reserved != known.reservations.end());
+        REQUIRE(reserved->reserved.value >= 30 * turn);
+    }
+}
+
+// Guards against a holder that lacks a reservation for good, because it did not answer when the reservation was sent to
+// it.
+TEST_CASE("a reservation is sent again to a holder of another failure domain until it confirms")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    std::atomic<int> refusals = 3;
+    std::atomic<int> confirmed = 0;
+    FleetHooks hooks;
+    hooks.fillStatus = [](InstanceStatus&) { };
+    hooks.onStatus = [](const InstanceStatus&) { };
+    hooks.fillSummary = [](DomainSummary&) { };
+    hooks.onSummary = [](const DomainSummary&) { };
+    hooks.fillDigest = [](FleetDigest&) { };
+    hooks.onDigest = [](const FleetDigest&) { };
+    hooks.onPeriod = [] { };
+    hooks.onMembersChanged = [] { };
+    hooks.onMessage = [&](const Message& message, const RpcReply& reply) {
+        const auto* notice = std::get_if<ReservationsNotice>(&message);
+        if (!notice || refusals-- > 0) {
+            reply.send(ErrorMessage { { ErrorKind::NotReady, Outcome::NotRun } });
+            return;
+        }
+        confirmed += notice->reservations.empty() ? 0 : 1;
+        reply.send(DoneMessage {});
+    };
+    Fleet holder(deployment.runtime, { { "n2", "b", { "127.0.0.1", 0 }, 1 }, { 7 } }, hooks);
+    const auto instance = deployment.startReady("n1", true, "a");
+    holder.announce({ "n1", "a", instance->peerAddress(), 1 });
+    holder.start();
+    deployment.fakeStore.put(StoreTopic::Members, {}, "n2", encodeMember(holder.self()));
+    REQUIRE(eventually([&] {
+        const auto state = boost::json::parse(instance->dump()).as_object();
+        const auto& peers = state.at("peers").as_array();
+        return !peers.empty() && peers.front().as_object().at("heard").as_bool();
+    }));
+    REQUIRE(deployment.send(*instance, budgetedTurn("t1", "p1", "30")).second.status == 200);
+    REQUIRE(confirmed == 0);
+    REQUIRE(eventually([&] { return confirmed >= 1; }));
 }
 
 // Guards against a budget that is granted twice: right after an outage, the log does not contain yet what the holders
