Keep the offset of a partition when reading it for deletions fails, and go on after an exception

A failed read made the next pass read all turns of the partition again, and an exception in one pass would have ended the deletion of expired turns for good. Change: a failed read keeps its offset unless the store has dropped the records at it; the end of a pass is noted by its completion handler, also after an exception.

--- a/src/ingress/retention.cpp
+++ b/src/ingress/retention.cpp
@@ -27,13 +27,11 @@
         if (this->draining || !this->membersKnown || this->isCleaning.exchange(true))
             return;
         const auto executor = this->newStrand();
-        asio::co_spawn(
-            executor,
-            [](std::shared_ptr<Impl> impl, asio::any_io_executor strand) -> asio::awaitable<void> {
-                co_await impl->deleteExpiredTurns(strand);
+        asio::co_spawn(executor, this->deleteExpiredTurns(executor),
+            [impl = this->shared_from_this()](const std::exception_ptr& error) {
                 impl->isCleaning = false;
-            }(this->shared_from_this(), executor),
-            reportErrors("deleting expired turns"));
+                logUnexpectedError("deleting expired turns", error);
+            });
     });
 }
 
@@ -72,7 +70,10 @@
     asio::any_io_executor executor, StorePartition partition, CleanedPartition& cleaned)
 {
     StoreReadHooks hooks;
-    hooks.onRestart = [&] { cleaned.retention.clear(); };
+    hooks.onRestart = [&] {
+        cleaned.next.reset();
+        cleaned.retention.clear();
+    };
     hooks.onRecords = [&](const std::vector<StoreRecord>& records) {
         const auto keepUntil = RuntimeClock::now() + this->longestRetention();
         for (const auto& record : records) {
@@ -86,9 +87,11 @@
         }
     };
     const auto end = co_await readToEnd(executor, this->store, StoreTopic::Turns, partition, cleaned.next, hooks);
-    cleaned.next = end ? std::optional(*end) : std::nullopt;
+    if (!end)
+        co_return;
+    cleaned.next = *end;
     // After an outage, later turns of a conversation may not be stored yet.
-    if (!end || !hasStoreSettled(this->storeHealth))
+    if (!hasStoreSettled(this->storeHealth))
         co_return;
     auto expired = cleaned.retention.neededUntil(RuntimeClock::now() - deletionDelay);
     expired.resize(std::min(expired.size(), maxDeletionsPerAppend));
