Wait for a slow store before a turn is confirmed with copies

What callers saw: after the loss of all instances a turn that continues one from before it reached no endpoint in 31 tries.

Cause: the end of a response waited 60 ms for the store and was then completed with copies at two other instances, also while the store was available and only slow. Turns that waited behind an append in progress were lost when all processes ended.

Change: while the store answers the calls of this instance, the end of a response waits for it, up to 1 s. Copies replace a store that does not answer. An instance that alone cannot reach the store waits 60 ms in place of 10 ms before it copies a turn. It is right because a turn that the store has confirmed does not depend on any process.

--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -350,6 +350,8 @@
     /// Calls the store directly and through another instance at the same time; the first answer counts.
     void callStoreBothWays(
         HttpRequest request, Milliseconds timeout, std::function<void(HttpResult, HttpResponse)> hook);
+    /// Whether the store answers this instance or another one that is reachable.
+    bool isStoreAvailable();
     void callStoreDirectly(
         HttpRequest request, Milliseconds timeout, std::function<void(HttpResult, HttpResponse)> hook);
 
--- a/src/ingress/storeaccess.cpp
+++ b/src/ingress/storeaccess.cpp
@@ -1,5 +1,7 @@
 #include "ingress_p.h"
 
+#include <algorithm>
+
 namespace peridotramp {
 
 namespace {
@@ -25,6 +27,13 @@
 
 } // namespace
 
+bool Ingress::Impl::isStoreAvailable()
+{
+    return this->storeHealth.isReachable() || std::ranges::any_of(this->fleet.reachable(), [](const Peer& peer) {
+        return peer.state.storeReachable && !peer.state.draining;
+    });
+}
+
 void Ingress::Impl::callStoreDirectly(
     HttpRequest request, Milliseconds timeout, std::function<void(HttpResult, HttpResponse)> hook)
 {
--- a/src/ingress/turns.cpp
+++ b/src/ingress/turns.cpp
@@ -8,9 +8,13 @@
 namespace {
 
 // Time for which the end of a response waits for the store before the turn is copied to other instances; shorter while
-// the store is known to be unavailable.
+// the store is known to be unavailable to all instances.
 constexpr Milliseconds storeAckTimeout { 60 };
 constexpr Milliseconds storeAckTimeoutWhenUnavailable { 10 };
+// Time for which it waits for a store that answers slowly. Copies are lost when all processes end at once, so they only
+// replace a store that does not answer. Longer than the timeout of a call, which tells the two apart.
+constexpr Milliseconds slowStoreTimeout { 1000 };
+constexpr Milliseconds storeCheckInterval { 50 };
 constexpr Milliseconds copyTimeout { 250 };
 constexpr Milliseconds copyRetryInterval { 100 };
 // Number of other failure domains that must have a copy, so that one remains when the other is lost.
@@ -118,8 +122,11 @@
     auto& writer = this->turnWriter(this->partitionOf(program));
     Mailbox<bool> stored(executor);
     writer.write({ turn.id, std::move(encoded), {} }, [stored](bool done) { stored.push(done); });
-    const auto storeTimeout = this->storeHealth.isReachable() ? storeAckTimeout : storeAckTimeoutWhenUnavailable;
+    const auto storeTimeout = this->isStoreAvailable() ? storeAckTimeout : storeAckTimeoutWhenUnavailable;
     auto done = co_await stored.next(std::min(deadline, begin + storeTimeout));
+    const auto slowStoreDeadline = std::min(deadline, begin + slowStoreTimeout);
+    while (!done && this->storeHealth.isReachable() && RuntimeClock::now() < slowStoreDeadline)
+        done = co_await stored.next(std::min(slowStoreDeadline, RuntimeClock::now() + storeCheckInterval));
     bool copied = false;
     while (!done && !copied && RuntimeClock::now() < deadline) {
         copied = co_await this->copyTurn(executor, program, turn, keepFor);
--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -143,6 +143,33 @@
     REQUIRE(late.endpoint.requests().size() == 2);
 }
 
+// Guards against turns that are lost when all processes end at once while the store is slow, because they were answered
+// when only other instances had them.
+TEST_CASE("the answer of a turn waits for a slow store, and is not completed with copies at other instances")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    const std::vector<std::shared_ptr<Ingress>> instances { deployment.startReady("n1", true, "a"),
+        deployment.startReady("n2", true, "b"), deployment.startReady("n3", true, "c") };
+    for (const auto& instance : instances)
+        REQUIRE(eventually([&] { return isComplete(*instance); }));
+    constexpr Milliseconds storeDelay { 400 };
+    deployment.fakeStore.setAppendDelay(storeDelay);
+    auto request = Deployment::request("POST", "/t/x", "t1");
+    request.headers.push_back({ "Program-Id", "p1" });
+    request.headers.push_back({ "Token-Count", "100,30" });
+    const auto begin = RuntimeClock::now();
+    const auto [result, response] = deployment.send(*instances.front(), request);
+    REQUIRE(result.error == ErrorKind::None);
+    REQUIRE(response.status == 200);
+    REQUIRE(RuntimeClock::now() - begin >= storeDelay);
+    for (const auto& other : { instances[1], instances[2] }) {
+        const HistoryRequest question { "t1", HistoryScope::Memory };
+        REQUIRE(callInstance<HistoryReply>(deployment, *other, question).turns.empty());
+    }
+}
+
 // Guards against the loss of a conversation when the instances that hold its newest turn fail one after the other while
 // the store is unavailable.
 TEST_CASE("an instance that starts while the store is unavailable loads the turns that are not stored yet")
