Log where a desired state comes from and how old an instance's knowledge is

"desired state applied" now has source and read_age_ms, a 401 or 404 names the version that decided it and the age of the last read, and /dump shows how far the operators' and the endpoints' records have been read. The follower reports each answered read.

No change of behaviour.

--- a/include/peridotramp/store.h
+++ b/include/peridotramp/store.h
@@ -97,6 +97,8 @@
     std::function<void(std::vector<StoreRecord>)> onSnapshot;
     /// Receives records appended after the snapshot.
     std::function<void(std::vector<StoreRecord>)> onRecords;
+    /// Called after each answer of the store whose records have been delivered, with the offset after them. Optional.
+    std::function<void(Offset next)> onRead {};
 };
 
 /// Follows one partition until the runtime stops: reads a snapshot, then the records appended after it. `store` must
--- a/src/ingress/follow.cpp
+++ b/src/ingress/follow.cpp
@@ -14,17 +14,47 @@
 
 } // namespace
 
+std::string_view toString(RecordSource source)
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t>(RecordSource::Count)> names { "store",
+        "store_snapshot", "member" };
+    return names.at(static_cast<std::size_t>(source));
+}
+
+void TopicReads::record(Offset end, TimePoint now)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->next = end;
+    this->readAt = now;
+}
+
+Offset TopicReads::end() const
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->next;
+}
+
+std::string TopicReads::ageText(TimePoint now) const
+{
+    const std::scoped_lock lock(this->mutex);
+    if (!this->next.isValid())
+        return "never";
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(now - this->readAt).count());
+}
+
 void Ingress::Impl::startFollowingStore()
 {
     StoreFollower::Init desired;
     desired.topic = StoreTopic::DesiredState;
     StoreFollower operators;
+    operators.onRead = [this](Offset next) { this->operatorsRead.record(next, RuntimeClock::now()); };
     operators.onSnapshot = [this](const std::vector<StoreRecord>& records) {
         {
             const std::scoped_lock lock(this->recordsMutex);
             this->operatorRecords.clear();
         }
-        std::ranges::for_each(records, [&](const StoreRecord& record) { this->applyOperatorRecord(record); });
+        std::ranges::for_each(records,
+            [&](const StoreRecord& record) { this->applyOperatorRecord(record, RecordSource::StoreSnapshot); });
         // An evacuation that is not among the newest records has been ended.
         for (const auto& domain : this->routingSnapshot()->evacuated) {
             const bool still = std::ranges::any_of(records, [&](const StoreRecord& record) {
@@ -37,7 +67,8 @@
         }
     };
     operators.onRecords = [this](const std::vector<StoreRecord>& records) {
-        std::ranges::for_each(records, [&](const StoreRecord& record) { this->applyOperatorRecord(record); });
+        std::ranges::for_each(
+            records, [&](const StoreRecord& record) { this->applyOperatorRecord(record, RecordSource::Store); });
     };
     followStore(this->newStrand(), this->store, desired, std::move(operators));
 
@@ -45,6 +76,7 @@
     listed.topic = StoreTopic::Endpoints;
     listed.pause = endpointReadInterval;
     StoreFollower endpoints;
+    endpoints.onRead = [this](Offset next) { this->endpointsRead.record(next, RuntimeClock::now()); };
     endpoints.onSnapshot = [this](const std::vector<StoreRecord>& records) { this->applyEndpointSnapshot(records); };
     endpoints.onRecords = [this](const std::vector<StoreRecord>& records) {
         std::ranges::for_each(records, [&](const StoreRecord& record) { this->applyEndpoint(record); });
@@ -94,14 +126,14 @@
                 return;
             log(LogLevel::Info, "desired state and endpoints received from another instance", { { "member", name } });
             for (const auto& record : reply->operators)
-                impl->applyOperatorRecord({ record.key, record.value, {} });
+                impl->applyOperatorRecord({ record.key, record.value, {} }, RecordSource::Member);
             for (const auto& record : reply->endpoints)
                 impl->applyEndpoint({ record.key, record.value, {} });
             impl->endpointsKnown = true;
         });
 }
 
-void Ingress::Impl::applyOperatorRecord(const StoreRecord& record)
+void Ingress::Impl::applyOperatorRecord(const StoreRecord& record, RecordSource source)
 {
     this->cacheRecord(this->operatorRecords, record);
     auto decoded = this->formats.decodeOperator(record);
@@ -112,7 +144,7 @@
     if (const auto* change = std::get_if<EvacuationChange>(&decoded.value()))
         this->applyEvacuation(*change);
     else
-        this->applyDesiredState(std::move(std::get<DesiredState>(decoded.value())));
+        this->applyDesiredState(std::move(std::get<DesiredState>(decoded.value())), source);
 }
 
 void Ingress::Impl::applyEvacuation(const EvacuationChange& change)
@@ -130,7 +162,7 @@
         { { "domain", change.domain } });
 }
 
-void Ingress::Impl::applyDesiredState(DesiredState state)
+void Ingress::Impl::applyDesiredState(DesiredState state, RecordSource source)
 {
     const auto version = state.version;
     const auto routes = state.routes.size();
@@ -145,7 +177,9 @@
     }
     this->updateLimits();
     this->metrics.set("desired_version", static_cast<double>(version));
-    log(LogLevel::Info, "desired state applied", { { "version", version }, { "routes", std::uint64_t { routes } } });
+    log(LogLevel::Info, "desired state applied",
+        { { "version", version }, { "routes", std::uint64_t { routes } }, { "source", toString(source) },
+            { "read_age_ms", this->operatorsRead.ageText(RuntimeClock::now()) } });
 }
 
 void Ingress::Impl::updateLimits()
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -210,6 +210,12 @@
         { "oldest_requests", this->describeRunning() } };
     if (current->table)
         state["desired_version"] = current->table->state().version;
+    const auto read = [&](const TopicReads& reads) {
+        return json::object { { "end", reads.end().isValid() ? json::value(reads.end().value) : json::value() },
+            { "age_ms", reads.ageText(RuntimeClock::now()) } };
+    };
+    state["operators_read"] = read(this->operatorsRead);
+    state["endpoints_read"] = read(this->endpointsRead);
     json::array evacuated;
     for (const auto& domain : current->evacuated)
         evacuated.push_back(json::value(domain));
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -16,6 +16,35 @@
     std::set<std::string, std::less<>> evacuated;
 };
 
+/// Where an instance has received a record of the metadata store from.
+enum class RecordSource : std::uint8_t {
+    /// A read after an offset.
+    Store,
+    /// A read of the newest record of each key.
+    StoreSnapshot,
+    /// The newest records of another instance.
+    Member,
+    Count
+};
+
+std::string_view toString(RecordSource source);
+
+/// How far this instance has read a topic that it follows, and when the store answered last. Thread-safe.
+class TopicReads {
+public:
+    /// Records an answer of the store: all records before `end` have been applied.
+    void record(Offset end, TimePoint now);
+    /// Returns the offset after the last record; invalid before the first answer.
+    Offset end() const;
+    /// Returns the time since the last answer in milliseconds, or "never".
+    std::string ageText(TimePoint now) const;
+
+private:
+    mutable std::mutex mutex;
+    Offset next;
+    TimePoint readAt {};
+};
+
 /// Result of a request, for its log line and the metrics.
 struct RequestOutcome {
     std::string request;
@@ -312,8 +341,8 @@
 
     // follow.cpp
     void startFollowingStore();
-    void applyOperatorRecord(const StoreRecord& record);
-    void applyDesiredState(DesiredState state);
+    void applyOperatorRecord(const StoreRecord& record, RecordSource source);
+    void applyDesiredState(DesiredState state, RecordSource source);
     void applyEvacuation(const EvacuationChange& change);
     void applyEndpointSnapshot(const std::vector<StoreRecord>& records);
     void applyEndpoint(const StoreRecord& record);
@@ -610,6 +639,8 @@
     std::set<PendingReservationCopy> pendingCopies {};
     std::mutex copiesMutex {};
     std::deque<CopiedReservation> copiedReservations {};
+    TopicReads operatorsRead {};
+    TopicReads endpointsRead {};
     std::mutex recordsMutex {};
     // Newest records in encoded form, for instances that cannot reach the store.
     std::map<std::string, std::string> operatorRecords {};
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -107,6 +107,12 @@
     this->ingress->running.remove(this->runningKey);
 }
 
+std::string RequestHandler::describeDesiredState() const
+{
+    return fmt::format("version {}, last read of the store: {} ms ago", this->outcome.version,
+        this->ingress->operatorsRead.ageText(RuntimeClock::now()));
+}
+
 bool RequestHandler::resolveRoute()
 {
     this->routing = this->ingress->routingSnapshot();
@@ -118,7 +124,7 @@
     const auto* found = this->routing->table->match(this->request.host, path);
     this->outcome.version = this->routing->table->state().version;
     if (!found) {
-        this->refuse({ ErrorKind::UnknownRoute, Outcome::NotRun, "version " + std::to_string(this->outcome.version) });
+        this->refuse({ ErrorKind::UnknownRoute, Outcome::NotRun, this->describeDesiredState() });
         return false;
     }
     this->route = *found;
@@ -137,8 +143,7 @@
     if (keyWorkspace || this->route.isPublic || !table.state().keysRequired)
         return true;
     this->refuse({ ErrorKind::Unauthenticated, Outcome::NotRun,
-        this->request.apiKey ? "key not in desired state version " + std::to_string(this->outcome.version)
-                             : "no key" });
+        this->request.apiKey ? "key not in desired state " + this->describeDesiredState() : "no key" });
     return false;
 }
 
--- a/src/ingress/request_p.h
+++ b/src/ingress/request_p.h
@@ -49,6 +49,8 @@
 private:
     // Serves a request whose route and workspace are known.
     asio::awaitable<void> serve();
+    // Describes the version that decided a request and the age of what this instance knows of it, for a refusal.
+    std::string describeDesiredState() const;
     // Each of these refuses the request and returns false if it may not run.
     bool resolveRoute();
     bool authorize();
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -39,6 +39,12 @@
     std::minstd_rand random { std::random_device {}() };
 };
 
+void reportRead(const StoreFollower& follower, Offset next)
+{
+    if (follower.onRead)
+        callGuarded("position in the metadata store", [&] { follower.onRead(next); });
+}
+
 asio::awaitable<void> follow(
     asio::any_io_executor executor, const MetadataStore& store, StoreFollower::Init init, StoreFollower follower)
 {
@@ -56,6 +62,7 @@
             }
             from = *end;
             callGuarded("snapshot of the metadata store", [&] { follower.onSnapshot(std::move(*records)); });
+            reportRead(follower, *from);
         }
         const std::function<void(MetadataStore::ReadHook)> start = [&](MetadataStore::ReadHook hook) {
             store.read(init.topic, init.partition, *from, init.wait, std::move(hook));
@@ -76,6 +83,7 @@
             from = content.next;
             callGuarded("records of the metadata store", [&] { follower.onRecords(std::move(content.records)); });
         }
+        reportRead(follower, *from);
         if (init.pause > Milliseconds(0))
             co_await sleepFor(executor, init.pause);
     }
