Take a newer desired state from any instance that has it

Cause, by reading and by the log: what an instance knows of the operators' and the endpoints' records rests on one pending read of its own. A read whose answer is lost lasts 1.8 s, its repetition through a peer up to 2.0 s, a page 2.1 s and 2.3 s, and the next try follows after up to 0.8 s, while all other instances serve the newer version and no message between instances names one. An instance asked another one only if it had no desired state at all.

Each report between instances now names the offsets up to which the sender has applied the two topics. An instance that is behind for 150 ms (1 s for endpoints) without progress requests the newest records, from the sender and other instances in turn, and gets only the topics in which it is behind.

Weighed: shorter polls (more calls for all, in calm too) and abandoning a read early (does not help an instance that the store refuses).

Frames between instances change, so instances of earlier versions refuse them.

--- a/include/peridotramp/coordination.h
+++ b/include/peridotramp/coordination.h
@@ -137,6 +137,33 @@
     std::vector<NodeId> elected;
 };
 
+/// Decides when an instance lags behind another one in records that both read from the same log. Being behind is normal
+/// for as long as a read takes; an instance whose reads fail or are not answered stays behind.
+class ReadLag {
+public:
+    /// `tolerance`: time for which this instance may be behind without making progress.
+    explicit ReadLag(Duration tolerance)
+        : tolerance(tolerance)
+    {
+    }
+
+    /// Records that this instance has applied all records before `end`. A lower offset than before is ignored.
+    void recordApplied(Offset end);
+    /// Records that another instance has applied all records before `end`. Returns whether this instance has been
+    /// behind without progress for the tolerance.
+    bool recordReported(Offset end, TimePoint now);
+    /// Returns the offset after the last applied record; invalid when there is none.
+    Offset applied() const { return this->end; }
+
+private:
+    Duration tolerance;
+    Offset end;
+    std::optional<TimePoint> behindSince;
+};
+
+/// Returns whether records before `offset` include some that are not before `applied`.
+bool isAhead(Offset offset, Offset applied);
+
 /// Returns the members in order of preference for holding the state of `key`, by weighted rendezvous hashing: a member
 /// comes first for a share of the keys in proportion to its capacity, and when it leaves, only its own keys move.
 ///
--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -381,15 +381,33 @@
     QuotaLoan loan;
 };
 
-/// Requests the newest records of operators and endpoints from another instance; used when the metadata store is
-/// unavailable.
-struct StateRequest { };
+/// Offsets after the last records that an instance has applied, by topic that all instances follow; invalid where it
+/// has applied none.
+struct TopicEnds {
+    Offset operators;
+    Offset endpoints;
+};
+
+/// The newest record of each key of a topic.
+struct TopicState {
+    /// All records before this offset are included.
+    Offset end;
+    std::vector<StateRecord> records;
+};
+
+/// Requests the newest records of operators and endpoints from another instance, for which the sender need not reach
+/// the metadata store.
+struct StateRequest {
+    /// What the sender has applied.
+    TopicEnds known;
+};
 
 struct StateReply {
     /// Whether the answering instance has the desired state and the endpoints.
     bool hasState = false;
-    std::vector<StateRecord> operators;
-    std::vector<StateRecord> endpoints;
+    /// Empty where the answering instance has applied no more than the sender.
+    std::optional<TopicState> operators;
+    std::optional<TopicState> endpoints;
 };
 
 /// Requests all members known to another instance; used when the metadata store is unavailable.
@@ -445,6 +463,7 @@
     /// Use of the workspaces with recent changes; from time to time of all that are in use.
     std::vector<WorkspaceInstanceUse> allowances;
     std::vector<EndpointLoad> loads;
+    TopicEnds topicEnds;
 };
 
 /// An instance and the time since the coordinator last heard from it.
@@ -471,6 +490,8 @@
     std::vector<DomainContact> domains;
     /// Load of the whole fleet, by endpoint.
     std::vector<EndpointLoad> loads;
+    /// What the sender has applied.
+    TopicEnds topicEnds;
 };
 
 /// Summary that the active coordinator of a failure domain sends periodically to the coordinators of the others.
@@ -485,6 +506,8 @@
     /// Sorted by workspace; omitted workspaces have used nothing.
     std::vector<WorkspaceUse> allowances;
     std::vector<EndpointLoad> loads;
+    /// What the sender has applied.
+    TopicEnds topicEnds;
 };
 
 /// Content of a datagram between instances of the fleet.
--- a/include/peridotramp/store.h
+++ b/include/peridotramp/store.h
@@ -93,12 +93,15 @@
         Milliseconds minRetryDelay { 100 };
         Milliseconds maxRetryDelay { 800 };
     };
-    /// Receives the newest record of every key; other keys have been deleted.
-    std::function<void(std::vector<StoreRecord>)> onSnapshot;
+    /// Receives the newest record of every key before `end`; other keys have been deleted.
+    std::function<void(std::vector<StoreRecord>, Offset end)> onSnapshot;
     /// Receives records appended after the snapshot.
     std::function<void(std::vector<StoreRecord>)> onRecords;
     /// Called after each answer of the store whose records have been delivered, with the offset after them. Optional.
     std::function<void(Offset next)> onRead {};
+    /// Returns the offset before which all records are known, also from elsewhere; invalid when none is. The follower
+    /// goes on there and delivers nothing that is older. Called on the follower's executor. Optional.
+    std::function<Offset()> knownEnd {};
 };
 
 /// Follows one partition until the runtime stops: reads a snapshot, then the records appended after it. `store` must
--- a/src/ingress/follow.cpp
+++ b/src/ingress/follow.cpp
@@ -8,9 +8,6 @@
 
 // Each endpoint writes its record about once a second, so more frequent reads would only add calls.
 constexpr Milliseconds endpointReadInterval { 300 };
-// Interval at which an instance without the desired state requests it from another one.
-constexpr Milliseconds stateRequestInterval { 300 };
-constexpr Milliseconds stateRequestTimeout { 500 };
 
 } // namespace
 
@@ -21,121 +18,68 @@
     return names.at(static_cast<std::size_t>(source));
 }
 
-void TopicReads::record(Offset end, TimePoint now)
-{
-    const std::scoped_lock lock(this->mutex);
-    this->next = end;
-    this->readAt = now;
-}
-
-Offset TopicReads::end() const
+void Ingress::Impl::startFollowingStore()
 {
-    const std::scoped_lock lock(this->mutex);
-    return this->next;
+    this->followOperators();
+    this->followEndpoints();
 }
 
-std::string TopicReads::ageText(TimePoint now) const
+void Ingress::Impl::followOperators()
 {
-    const std::scoped_lock lock(this->mutex);
-    if (!this->next.isValid())
-        return "never";
-    return std::to_string(std::chrono::duration_cast<Milliseconds>(now - this->readAt).count());
-}
-
-void Ingress::Impl::startFollowingStore()
-{
-    StoreFollower::Init desired;
-    desired.topic = StoreTopic::DesiredState;
-    StoreFollower operators;
-    operators.onRead = [this](Offset next) { this->operatorsRead.record(next, RuntimeClock::now()); };
-    operators.onSnapshot = [this](const std::vector<StoreRecord>& records) {
-        {
-            const std::scoped_lock lock(this->recordsMutex);
-            this->operatorRecords.clear();
-        }
-        std::ranges::for_each(records,
-            [&](const StoreRecord& record) { this->applyOperatorRecord(record, RecordSource::StoreSnapshot); });
-        // An evacuation that is not among the newest records has been ended.
-        for (const auto& domain : this->routingSnapshot()->evacuated) {
-            const bool still = std::ranges::any_of(records, [&](const StoreRecord& record) {
-                const auto decoded = this->formats.decodeOperator(record);
-                const auto* change = decoded ? std::get_if<EvacuationChange>(&decoded.value()) : nullptr;
-                return change && change->domain == domain && change->evacuated;
-            });
-            if (!still)
-                this->applyEvacuation({ domain, false });
-        }
-    };
-    operators.onRecords = [this](const std::vector<StoreRecord>& records) {
-        std::ranges::for_each(
-            records, [&](const StoreRecord& record) { this->applyOperatorRecord(record, RecordSource::Store); });
+    StoreFollower::Init init;
+    init.topic = StoreTopic::DesiredState;
+    StoreFollower follower;
+    follower.onSnapshot = [this](const std::vector<StoreRecord>& records, Offset end) {
+        this->applyOperatorSnapshot(records, end, RecordSource::StoreSnapshot);
     };
-    followStore(this->newStrand(), this->store, desired, std::move(operators));
-
-    StoreFollower::Init listed;
-    listed.topic = StoreTopic::Endpoints;
-    listed.pause = endpointReadInterval;
-    StoreFollower endpoints;
-    endpoints.onRead = [this](Offset next) { this->endpointsRead.record(next, RuntimeClock::now()); };
-    endpoints.onSnapshot = [this](const std::vector<StoreRecord>& records) { this->applyEndpointSnapshot(records); };
-    endpoints.onRecords = [this](const std::vector<StoreRecord>& records) {
-        std::ranges::for_each(records, [&](const StoreRecord& record) { this->applyEndpoint(record); });
+    follower.onRecords = [this](const std::vector<StoreRecord>& records) {
+        for (const auto& record : records) {
+            this->operatorTopic.add(record);
+            this->applyOperatorRecord(record, RecordSource::Store);
+        }
     };
-    followStore(this->newStrand(), this->store, listed, std::move(endpoints));
-}
-
-void Ingress::Impl::cacheRecord(std::map<std::string, std::string>& records, const StoreRecord& record)
-{
-    const std::scoped_lock lock(this->recordsMutex);
-    if (record.value.empty())
-        records.erase(record.key);
-    else
-        records[record.key] = record.value;
+    follower.onRead = [this](Offset next) { this->operatorTopic.recordRead(next, RuntimeClock::now()); };
+    follower.knownEnd = [this] { return this->operatorTopic.end(); };
+    followStore(this->operatorStrand, this->store, init, std::move(follower));
 }
 
-StateReply Ingress::Impl::currentState()
+void Ingress::Impl::followEndpoints()
 {
-    StateReply reply;
-    reply.hasState = this->routingSnapshot()->table && this->endpointsKnown;
-    const auto listed = [](const std::map<std::string, std::string>& records) {
-        std::vector<StateRecord> list;
-        std::ranges::transform(records, std::back_inserter(list),
-            [](const auto& entry) { return StateRecord { entry.first, entry.second }; });
-        return list;
+    StoreFollower::Init init;
+    init.topic = StoreTopic::Endpoints;
+    init.pause = endpointReadInterval;
+    StoreFollower follower;
+    follower.onSnapshot
+        = [this](const std::vector<StoreRecord>& records, Offset end) { this->applyEndpointSnapshot(records, end); };
+    follower.onRecords = [this](const std::vector<StoreRecord>& records) {
+        for (const auto& record : records) {
+            this->endpointTopic.add(record);
+            this->applyEndpoint(record);
+        }
     };
-    const std::scoped_lock lock(this->recordsMutex);
-    reply.operators = listed(this->operatorRecords);
-    reply.endpoints = listed(this->endpointRecords);
-    return reply;
+    follower.onRead = [this](Offset next) { this->endpointTopic.recordRead(next, RuntimeClock::now()); };
+    follower.knownEnd = [this] { return this->endpointTopic.end(); };
+    followStore(this->endpointStrand, this->store, init, std::move(follower));
 }
 
-void Ingress::Impl::requestState()
+void Ingress::Impl::applyOperatorSnapshot(const std::vector<StoreRecord>& records, Offset end, RecordSource source)
 {
-    const auto now = RuntimeClock::now();
-    const auto peers = this->fleet.reachable();
-    if (peers.empty() || now - this->stateRequestedAt.load() < stateRequestInterval)
-        return;
-    this->stateRequestedAt = now;
-    // Another instance each time, as some may not have the state either.
-    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / stateRequestInterval);
-    const auto& peer = peers[turn % peers.size()];
-    this->fleet.call(peer.member.address, StateRequest {}, stateRequestTimeout,
-        [impl = this->shared_from_this(), name = peer.member.name](const Result<Message>& answer, bool) {
-            const auto* reply = answer ? std::get_if<StateReply>(&answer.value()) : nullptr;
-            if (!reply || !reply->hasState || (impl->routingSnapshot()->table && impl->endpointsKnown))
-                return;
-            log(LogLevel::Info, "desired state and endpoints received from another instance", { { "member", name } });
-            for (const auto& record : reply->operators)
-                impl->applyOperatorRecord({ record.key, record.value, {} }, RecordSource::Member);
-            for (const auto& record : reply->endpoints)
-                impl->applyEndpoint({ record.key, record.value, {} });
-            impl->endpointsKnown = true;
+    this->operatorTopic.replace(records, end);
+    std::ranges::for_each(records, [&](const StoreRecord& record) { this->applyOperatorRecord(record, source); });
+    // An evacuation that is not among the newest records has been ended.
+    for (const auto& domain : this->routingSnapshot()->evacuated) {
+        const bool still = std::ranges::any_of(records, [&](const StoreRecord& record) {
+            const auto decoded = this->formats.decodeOperator(record);
+            const auto* change = decoded ? std::get_if<EvacuationChange>(&decoded.value()) : nullptr;
+            return change && change->domain == domain && change->evacuated;
         });
+        if (!still)
+            this->applyEvacuation({ domain, false });
+    }
 }
 
 void Ingress::Impl::applyOperatorRecord(const StoreRecord& record, RecordSource source)
 {
-    this->cacheRecord(this->operatorRecords, record);
     auto decoded = this->formats.decodeOperator(record);
     if (!decoded) {
         log(LogLevel::Warning, "malformed operator record ignored", { { "reason", decoded.error().message() } });
@@ -179,7 +123,7 @@
     this->metrics.set("desired_version", static_cast<double>(version));
     log(LogLevel::Info, "desired state applied",
         { { "version", version }, { "routes", std::uint64_t { routes } }, { "source", toString(source) },
-            { "read_age_ms", this->operatorsRead.ageText(RuntimeClock::now()) } });
+            { "read_age_ms", this->operatorTopic.ageText(RuntimeClock::now()) } });
 }
 
 void Ingress::Impl::updateLimits()
@@ -197,12 +141,9 @@
     this->allowances.setLimits(table->state());
 }
 
-void Ingress::Impl::applyEndpointSnapshot(const std::vector<StoreRecord>& records)
+void Ingress::Impl::applyEndpointSnapshot(const std::vector<StoreRecord>& records, Offset end)
 {
-    {
-        const std::scoped_lock lock(this->recordsMutex);
-        this->endpointRecords.clear();
-    }
+    this->endpointTopic.replace(records, end);
     std::set<std::string> listed;
     for (const auto& record : records) {
         listed.insert(record.key);
@@ -248,7 +189,6 @@
 
 void Ingress::Impl::applyEndpoint(const StoreRecord& record)
 {
-    this->cacheRecord(this->endpointRecords, record);
     if (record.value.empty()) {
         this->removeEndpoint(record.key);
         return;
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -16,6 +16,10 @@
 constexpr Milliseconds drainCheckPeriod { 20 };
 // Time for callers to receive the answers to requests that the shutdown has ended.
 constexpr Milliseconds finalAnswerTimeout { 200 };
+// A record of operators reaches all instances whose long polls are answered within a few milliseconds.
+constexpr Milliseconds operatorLagTolerance { 150 };
+// The endpoints' records are read in intervals, so instances differ by up to one interval and a call.
+constexpr Milliseconds endpointLagTolerance { 1000 };
 // Maximum number of running requests that a log line lists.
 constexpr std::size_t maxRequestsInLog = 20;
 
@@ -48,6 +52,10 @@
     , currentSnapshot(std::make_shared<RoutingSnapshot>())
     , allowances({ this->init.domain, idFromName<NodeId>(this->init.name), this->init.allowanceWindow,
           this->init.allowanceOverrun, this->init.allowanceSlack, this->init.firstStart })
+    , operatorTopic(operatorLagTolerance)
+    , endpointTopic(endpointLagTolerance)
+    , operatorStrand(this->newStrand())
+    , endpointStrand(this->newStrand())
 {
     this->directories.forEach([&](std::unique_ptr<EndpointDirectory>& directory) {
         EndpointDirectory::Init directoryInit;
@@ -210,12 +218,12 @@
         { "oldest_requests", this->describeRunning() } };
     if (current->table)
         state["desired_version"] = current->table->state().version;
-    const auto read = [&](const TopicReads& reads) {
-        return json::object { { "end", reads.end().isValid() ? json::value(reads.end().value) : json::value() },
-            { "age_ms", reads.ageText(RuntimeClock::now()) } };
+    const auto describe = [&](const FollowedTopic& topic) {
+        return json::object { { "end", topic.end().isValid() ? json::value(topic.end().value) : json::value() },
+            { "age_ms", topic.ageText(RuntimeClock::now()) } };
     };
-    state["operators_read"] = read(this->operatorsRead);
-    state["endpoints_read"] = read(this->endpointsRead);
+    state["operators_read"] = describe(this->operatorTopic);
+    state["endpoints_read"] = describe(this->endpointTopic);
     json::array evacuated;
     for (const auto& domain : current->evacuated)
         evacuated.push_back(json::value(domain));
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "allowances_p.h"
+#include "followedtopic_p.h"
 #include "peridotramp/async.h"
 #include "peridotramp/conversations.h"
 #include "peridotramp/fleet.h"
@@ -29,22 +30,6 @@
 
 std::string_view toString(RecordSource source);
 
-/// How far this instance has read a topic that it follows, and when the store answered last. Thread-safe.
-class TopicReads {
-public:
-    /// Records an answer of the store: all records before `end` have been applied.
-    void record(Offset end, TimePoint now);
-    /// Returns the offset after the last record; invalid before the first answer.
-    Offset end() const;
-    /// Returns the time since the last answer in milliseconds, or "never".
-    std::string ageText(TimePoint now) const;
-
-private:
-    mutable std::mutex mutex;
-    Offset next;
-    TimePoint readAt {};
-};
-
 /// Result of a request, for its log line and the metrics.
 struct RequestOutcome {
     std::string request;
@@ -341,18 +326,35 @@
 
     // follow.cpp
     void startFollowingStore();
+    void followOperators();
+    void followEndpoints();
+    /// Applies the newest records of operators; what is not among them has been deleted. This and the next three run on
+    /// `operatorStrand`.
+    void applyOperatorSnapshot(const std::vector<StoreRecord>& records, Offset end, RecordSource source);
     void applyOperatorRecord(const StoreRecord& record, RecordSource source);
     void applyDesiredState(DesiredState state, RecordSource source);
     void applyEvacuation(const EvacuationChange& change);
-    void applyEndpointSnapshot(const std::vector<StoreRecord>& records);
+    /// Applies the newest records of endpoints; an endpoint that is not among them is gone. This and the next one run
+    /// on `endpointStrand`.
+    void applyEndpointSnapshot(const std::vector<StoreRecord>& records, Offset end);
     void applyEndpoint(const StoreRecord& record);
     void removeEndpoint(const std::string& name);
     /// Applies the limits of the desired state and the number of instances to the endpoint directories and allowances.
     void updateLimits();
-    StateReply currentState();
-    /// Requests the desired state and the endpoints from another instance while the store does not answer.
-    void requestState();
-    void cacheRecord(std::map<std::string, std::string>& records, const StoreRecord& record);
+
+    // sharedstate.cpp
+    /// Returns what this instance has applied of the topics that all instances follow.
+    TopicEnds topicEnds() const;
+    /// Returns the newest records of the topics in which this instance is ahead of `known`.
+    StateReply currentState(const TopicEnds& known);
+    /// Requests the desired state and the endpoints from other instances in turn, as this one has none.
+    void requestMissingState();
+    /// Compares what another instance has applied with what this one has, and requests newer records once this one has
+    /// been behind for some time.
+    void compareTopicEnds(const FleetMember& member, const TopicEnds& ends);
+    /// Requests newer records from another instance, unless that was done a short time ago.
+    void requestState(const FleetMember& member);
+    void applyState(const std::string& member, StateReply reply);
 
     // peers.cpp
     FleetHooks fleetHooks();
@@ -639,13 +641,13 @@
     std::set<PendingReservationCopy> pendingCopies {};
     std::mutex copiesMutex {};
     std::deque<CopiedReservation> copiedReservations {};
-    TopicReads operatorsRead {};
-    TopicReads endpointsRead {};
-    std::mutex recordsMutex {};
-    // Newest records in encoded form, for instances that cannot reach the store.
-    std::map<std::string, std::string> operatorRecords {};
-    std::map<std::string, std::string> endpointRecords {};
+    FollowedTopic operatorTopic;
+    FollowedTopic endpointTopic;
+    // Serialize what the store and other instances deliver of a topic.
+    asio::any_io_executor operatorStrand;
+    asio::any_io_executor endpointStrand;
     std::atomic<TimePoint> stateRequestedAt { TimePoint {} };
+    std::atomic<std::size_t> stateRequests = 0;
     std::mutex pendingRemovalsMutex {};
     // Endpoints whose record is gone and that are removed after a delay, unless the record returns.
     std::set<std::string> pendingRemovals {};
--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -20,6 +20,7 @@
 {
     FleetHooks hooks;
     hooks.fillStatus = [this](InstanceStatus& status) {
+        status.topicEnds = this->topicEnds();
         this->allowances.fillStatus(status, RuntimeClock::now());
         this->directories.forEach([&](const std::unique_ptr<EndpointDirectory>& directory) {
             std::ranges::move(directory->reportLoad(), std::back_inserter(status.loads));
@@ -27,27 +28,32 @@
     };
     hooks.onStatus = [this](const InstanceStatus& status) {
         const auto now = RuntimeClock::now();
+        this->compareTopicEnds(status.sender, status.topicEnds);
         this->allowances.applyStatus(status, now);
         const std::scoped_lock lock(this->loadsMutex);
         this->loads.applyInstanceLoad(status.sender.id(), status.loads, now);
     };
     hooks.fillSummary = [this](DomainSummary& summary) {
         const auto now = RuntimeClock::now();
+        summary.topicEnds = this->topicEnds();
         this->allowances.fillSummary(summary, now);
         const std::scoped_lock lock(this->loadsMutex);
         summary.loads = this->loads.domainLoad(now);
     };
     hooks.onSummary = [this](const DomainSummary& summary) {
         const auto now = RuntimeClock::now();
+        this->compareTopicEnds(summary.sender, summary.topicEnds);
         this->allowances.applySummary(summary, now);
         const std::scoped_lock lock(this->loadsMutex);
         this->loads.applyDomainLoad(summary.sender.domain, summary.loads, now);
     };
     hooks.fillDigest = [this](FleetDigest& digest) {
+        digest.topicEnds = this->topicEnds();
         const std::scoped_lock lock(this->loadsMutex);
         digest.loads = this->loads.fleetLoad(RuntimeClock::now());
     };
     hooks.onDigest = [this](const FleetDigest& digest) {
+        this->compareTopicEnds(digest.sender, digest.topicEnds);
         this->directories.forEach(
             [&](const std::unique_ptr<EndpointDirectory>& directory) { directory->applyFleetLoad(digest.loads); });
     };
@@ -67,7 +73,7 @@
     const auto applyAll = [this](const std::vector<StoreRecord>& records) {
         std::ranges::for_each(records, [&](const StoreRecord& record) { this->applyMember(record); });
     };
-    follower.onSnapshot = [this, applyAll](const std::vector<StoreRecord>& records) {
+    follower.onSnapshot = [this, applyAll](const std::vector<StoreRecord>& records, Offset) {
         applyAll(records);
         this->membersKnown = true;
     };
@@ -166,7 +172,7 @@
     this->updateHeldPartitions();
     this->updateReachability();
     if (!this->routingSnapshot()->table || !this->endpointsKnown)
-        this->requestState();
+        this->requestMissingState();
 }
 
 void Ingress::Impl::updateReachability()
@@ -291,8 +297,8 @@
         reply.send(this->describePartition(*wanted));
     } else if (const auto* page = std::get_if<TurnPageRequest>(&message)) {
         reply.send(this->turnPage(*page));
-    } else if (std::holds_alternative<StateRequest>(message)) {
-        reply.send(this->currentState());
+    } else if (const auto* state = std::get_if<StateRequest>(&message)) {
+        reply.send(this->currentState(state->known));
     } else if (auto* call = std::get_if<StoreCallRequest>(&message)) {
         HttpRequest http { call->method, call->target, {}, std::move(call->body) };
         if (!call->contentType.empty())
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -110,7 +110,7 @@
 std::string RequestHandler::describeDesiredState() const
 {
     return fmt::format("version {}, last read of the store: {} ms ago", this->outcome.version,
-        this->ingress->operatorsRead.ageText(RuntimeClock::now()));
+        this->ingress->operatorTopic.ageText(RuntimeClock::now()));
 }
 
 bool RequestHandler::resolveRoute()
--- a/src/nodes/messages_p.h
+++ b/src/nodes/messages_p.h
@@ -329,7 +329,14 @@
     archive(message.turns, message.more);
 }
 
-template <typename Archive> void serialize(Archive&, StateRequest&) { }
+template <typename Archive> void serialize(Archive& archive, TopicEnds& ends)
+{
+    archive(ends.operators, ends.endpoints);
+}
+
+template <typename Archive> void serialize(Archive& archive, TopicState& state) { archive(state.end, state.records); }
+
+template <typename Archive> void serialize(Archive& archive, StateRequest& message) { archive(message.known); }
 
 template <typename Archive> void serialize(Archive& archive, StateRecord& record) { archive(record.key, record.value); }
 
@@ -415,7 +422,7 @@
 template <typename Archive> void serialize(Archive& archive, InstanceStatus& status)
 {
     archive(status.sender, status.incarnation, status.uptime, status.state, status.leases, status.allowances);
-    archive(status.loads);
+    archive(status.loads, status.topicEnds);
 }
 
 template <typename Archive> void serialize(Archive& archive, MemberContact& contact)
@@ -430,13 +437,13 @@
 
 template <typename Archive> void serialize(Archive& archive, FleetDigest& digest)
 {
-    archive(digest.sender, digest.active, digest.members, digest.domains, digest.loads);
+    archive(digest.sender, digest.active, digest.members, digest.domains, digest.loads, digest.topicEnds);
 }
 
 template <typename Archive> void serialize(Archive& archive, DomainSummary& summary)
 {
     archive(summary.sender, summary.standby, summary.incarnation, summary.uptime, summary.members);
-    archive(summary.allowances, summary.loads);
+    archive(summary.allowances, summary.loads, summary.topicEnds);
 }
 
 template <typename Archive> void serialize(Archive& archive, Frame& frame)
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -39,6 +39,21 @@
     std::minstd_rand random { std::random_device {}() };
 };
 
+Offset knownEnd(const StoreFollower& follower) { return follower.knownEnd ? follower.knownEnd() : Offset {}; }
+
+Offset skipKnown(const StoreFollower& follower, Offset from)
+{
+    const auto known = knownEnd(follower);
+    return known.isValid() ? std::max(from, known) : from;
+}
+
+void dropKnown(const StoreFollower& follower, std::vector<StoreRecord>& records)
+{
+    const auto known = knownEnd(follower);
+    if (known.isValid())
+        std::erase_if(records, [&](const StoreRecord& record) { return record.offset < known; });
+}
+
 void reportRead(const StoreFollower& follower, Offset next)
 {
     if (follower.onRead)
@@ -60,10 +75,13 @@
                 co_await sleepFor(executor, backoff.takeDelay());
                 continue;
             }
-            from = *end;
-            callGuarded("snapshot of the metadata store", [&] { follower.onSnapshot(std::move(*records)); });
+            from = skipKnown(follower, *end);
+            // A store that lags behind returns a snapshot from before what is known.
+            if (*from == *end)
+                callGuarded("snapshot of the metadata store", [&] { follower.onSnapshot(std::move(*records), *end); });
             reportRead(follower, *from);
         }
+        from = skipKnown(follower, *from);
         const std::function<void(MetadataStore::ReadHook)> start = [&](MetadataStore::ReadHook hook) {
             store.read(init.topic, init.partition, *from, init.wait, std::move(hook));
         };
@@ -81,6 +99,7 @@
         // A store that lags behind may report an offset before what was read earlier.
         if (content.next > *from) {
             from = content.next;
+            dropKnown(follower, content.records);
             callGuarded("records of the metadata store", [&] { follower.onRecords(std::move(content.records)); });
         }
         reportRead(follower, *from);
--- a/tests/coordination/coordination.cpp
+++ b/tests/coordination/coordination.cpp
@@ -162,3 +162,39 @@
     REQUIRE(kept["m3"] < keys / 9 * 12 / 10);
     REQUIRE(std::abs(kept["m1"] - kept["m2"]) < keys / 10);
 }
+
+// Guards against an instance that never notices that its reads have stopped, and against requests for records that
+// arrive a moment later anyway.
+TEST_CASE("an instance lags once another one has been ahead for the tolerance without progress here")
+{
+    const TimePoint start { Seconds(100) };
+    ReadLag lag(Milliseconds(150));
+    SECTION("one that has applied nothing lags behind any other")
+    {
+        REQUIRE_FALSE(lag.recordReported({}, start));
+        REQUIRE_FALSE(lag.recordReported({ 1 }, start));
+        REQUIRE(lag.recordReported({ 1 }, start + Milliseconds(150)));
+    }
+    SECTION("equal and older reports are no lag")
+    {
+        lag.recordApplied({ 7 });
+        REQUIRE_FALSE(lag.recordReported({ 7 }, start));
+        REQUIRE_FALSE(lag.recordReported({ 6 }, start + Seconds(9)));
+        REQUIRE(lag.applied() == Offset { 7 });
+    }
+    SECTION("progress starts the tolerance again")
+    {
+        lag.recordApplied({ 7 });
+        REQUIRE_FALSE(lag.recordReported({ 9 }, start));
+        lag.recordApplied({ 8 });
+        REQUIRE_FALSE(lag.recordReported({ 9 }, start + Milliseconds(200)));
+        REQUIRE(lag.recordReported({ 9 }, start + Milliseconds(350)));
+    }
+    SECTION("an older offset takes nothing back")
+    {
+        lag.recordApplied({ 7 });
+        lag.recordApplied({ 3 });
+        lag.recordApplied({});
+        REQUIRE(lag.applied() == Offset { 7 });
+    }
+}
--- a/tests/ingress/fixture.h
+++ b/tests/ingress/fixture.h
@@ -135,7 +135,7 @@
         auto ingress
             = std::make_shared<Ingress>(this->runtime, init, this->formats, [this](const StoreTransport& transport) {
                   this->transport = transport;
-                  return this->fakeStore.client();
+                  return this->storeClient();
               });
         ingress->start();
         this->instances.push_back(ingress);
@@ -174,6 +174,8 @@
         done->get_future().get();
     }
 
+    /// Store client of the instances that are started from now on.
+    std::function<MetadataStore()> storeClient = [this] { return this->fakeStore.client(); };
     /// Changes the settings of the instances that are started from now on.
     std::function<void(IngressInit&)> configure = [](IngressInit&) { };
     /// Codecs of the instances that are started from now on.
--- a/tests/store/store.cpp
+++ b/tests/store/store.cpp
@@ -36,7 +36,7 @@
         for (const auto& record : records)
             seen.push_back(record.key + record.value);
     };
-    follower.onSnapshot = collect;
+    follower.onSnapshot = [&](const std::vector<StoreRecord>& records, Offset) { collect(records); };
     follower.onRecords = collect;
     StoreFollower::Init init;
     init.topic = StoreTopic::Members;
@@ -59,6 +59,47 @@
     pool.join();
 }
 
+// Guards against a store that lags behind and takes an instance back to records older than it knows from others.
+TEST_CASE("a follower delivers nothing that is older than what is known from elsewhere")
+{
+    asio::thread_pool pool(1);
+    Fixture fixture;
+    constexpr std::uint64_t known = 5;
+    std::promise<Offset> readFrom;
+    std::atomic<int> snapshots = 0;
+    std::atomic<std::uint64_t> firstDelivered = 0;
+    MetadataStore store;
+    store.newest = [](StoreTopic, StorePartition, const std::string&, const MetadataStore::PageHook& hook) {
+        hook(StorePage { { { "key", "old", { 2 } } }, { 3 }, false });
+    };
+    std::atomic<int> reads = 0;
+    store.read = [&](StoreTopic, StorePartition, Offset from, Milliseconds, const MetadataStore::ReadHook& hook) {
+        if (++reads > 1)
+            return;
+        readFrom.set_value(from);
+        StoreRead read;
+        read.records = { { "key", "older", { known - 1 } }, { "key", "newer", { known } } };
+        read.next = { known + 1 };
+        read.end = read.next;
+        hook(std::move(read));
+    };
+    std::promise<std::size_t> delivered;
+    StoreFollower follower;
+    follower.onSnapshot = [&](const std::vector<StoreRecord>&, Offset) { ++snapshots; };
+    follower.onRecords = [&](const std::vector<StoreRecord>& records) {
+        firstDelivered = records.front().offset.value;
+        delivered.set_value(records.size());
+    };
+    follower.knownEnd = [] { return Offset { known }; };
+    followStore(asio::make_strand(pool), store, {}, std::move(follower));
+    REQUIRE(readFrom.get_future().get() == Offset { known });
+    REQUIRE(delivered.get_future().get() == 1);
+    REQUIRE(firstDelivered == known);
+    REQUIRE(snapshots == 0);
+    pool.stop();
+    pool.join();
+}
+
 // Guards against an overloaded store that is kept overloaded: with a chance of one half for each page, reading all
 // pages again after a failure would hardly ever reach the last of them.
 TEST_CASE("a page of the newest records that fails is read again without the pages before it")
