Read the newest records again when a handler of a follower fails

What callers would see: an older desired state until the next change. The follower moved its offset before it delivered the records of a read, and an exception in a handler lost the records after the failing one for good.

After a failed delivery the follower reads the newest records of all keys again, with a backoff of its own.

--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -64,6 +64,7 @@
     asio::any_io_executor executor, const MetadataStore& store, StoreFollower::Init init, StoreFollower follower)
 {
     Backoff backoff(init.minRetryDelay, init.maxRetryDelay);
+    Backoff deliveryBackoff(init.minRetryDelay, init.maxRetryDelay);
     std::optional<Offset> from;
     while (true) {
         if (!from) {
@@ -77,8 +78,15 @@
             }
             from = skipKnown(follower, *end);
             // A store that lags behind returns a snapshot from before what is known.
+            bool delivered = true;
             if (*from == *end)
-                callGuarded("snapshot of the metadata store", [&] { follower.onSnapshot(std::move(*records), *end); });
+                delivered = callGuarded(
+                    "snapshot of the metadata store", [&] { follower.onSnapshot(std::move(*records), *end); });
+            if (!delivered) {
+                from.reset();
+                co_await sleepFor(executor, deliveryBackoff.takeDelay());
+                continue;
+            }
             reportRead(follower, *from);
         }
         from = skipKnown(follower, *from);
@@ -100,7 +108,15 @@
         if (content.next > *from) {
             from = content.next;
             dropKnown(follower, content.records);
-            callGuarded("records of the metadata store", [&] { follower.onRecords(std::move(content.records)); });
+            const bool delivered
+                = callGuarded("records of the metadata store", [&] { follower.onRecords(std::move(content.records)); });
+            // The records after the one that failed would be lost; the newest records include them.
+            if (!delivered) {
+                from.reset();
+                co_await sleepFor(executor, deliveryBackoff.takeDelay());
+                continue;
+            }
+            deliveryBackoff.reset();
         }
         reportRead(follower, *from);
         if (init.pause > Milliseconds(0))
--- a/tests/store/store.cpp
+++ b/tests/store/store.cpp
@@ -100,6 +100,36 @@
     pool.join();
 }
 
+// Guards against records that are lost for good because the handler of an earlier one in the same read failed: the
+// instance would keep an older desired state until the next change.
+TEST_CASE("a follower delivers the newest records again after a handler has failed")
+{
+    asio::thread_pool pool(1);
+    Fixture fixture;
+    fixture.fake.put(StoreTopic::Members, {}, "a", "1");
+    std::atomic<int> snapshots = 0;
+    std::atomic<bool> failed = false;
+    std::atomic<bool> sawNewest = false;
+    StoreFollower follower;
+    follower.onSnapshot = [&](const std::vector<StoreRecord>& records, Offset) {
+        ++snapshots;
+        sawNewest = sawNewest || records.size() == 2;
+    };
+    follower.onRecords = [&](const std::vector<StoreRecord>&) {
+        failed = true;
+        throw std::runtime_error("handler failed");
+    };
+    StoreFollower::Init init;
+    init.topic = StoreTopic::Members;
+    followStore(asio::make_strand(pool), fixture.store, init, std::move(follower));
+    REQUIRE(eventually([&] { return snapshots == 1; }));
+    fixture.fake.put(StoreTopic::Members, {}, "b", "1");
+    REQUIRE(eventually([&] { return failed.load(); }));
+    REQUIRE(eventually([&] { return sawNewest.load(); }));
+    pool.stop();
+    pool.join();
+}
+
 // Guards against an overloaded store that is kept overloaded: with a chance of one half for each page, reading all
 // pages again after a failure would hardly ever reach the last of them.
 TEST_CASE("a page of the newest records that fails is read again without the pages before it")
