Update the limits of a desired state on one strand

What callers would see: the routes of the newest desired state with the allowances and connection limits of the one before. A change of the members and a new desired state each updated the limits on their own thread; the one that had read the older state could finish last.

A change of the members now updates the limits on the strand that applies the desired state. 68 cases of tests/ingress passed.

--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -340,6 +340,7 @@
     void applyEndpoint(const StoreRecord& record);
     void removeEndpoint(const std::string& name);
     /// Applies the limits of the desired state and the number of instances to the endpoint directories and allowances.
+    /// Runs on `operatorStrand`: two calls at once could leave the limits of the older desired state.
     void updateLimits();
 
     // sharedstate.cpp
--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -60,7 +60,10 @@
     hooks.onMessage
         = [this](Message message, const RpcReply& reply) { this->handlePeerMessage(std::move(message), reply); };
     hooks.onPeriod = [this] { this->onStatusPeriod(); };
-    hooks.onMembersChanged = [this] { this->updateLimits(); };
+    // On the strand on which a desired state is applied, which updates the limits, too.
+    hooks.onMembersChanged = [this] {
+        asio::post(this->operatorStrand, [impl = this->shared_from_this()] { impl->updateLimits(); });
+    };
     return hooks;
 }
 
