--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -61,9 +61,8 @@
         = [this](Message message, const RpcReply& reply) { this->handlePeerMessage(std::move(message), reply); };
     hooks.onPeriod = [this] { this->onStatusPeriod(); };
     // On the strand on which a desired state is applied, which updates the limits, too.
-    hooks.onMembersChanged = [this] {
-        asio::post(this->operatorStrand, [impl = this->shared_from_this()] { impl->updateLimits(); });
-    };
+    hooks.onMembersChanged
+        = [this] { asio::post(this->operatorStrand, [impl = this->shared_from_this()] { impl->updateLimits(); }); };
     return hooks;
 }
 
