Bound the memory that all callers of a server occupy together

What callers saw: clients that the users do not control ended a process, which ran out of memory. They sent heads over the limit or without end, and empty lines without end.

Cause: each limit applied to one connection or request, and nothing bounded their sum. A head within its limit takes 13 times its bytes once it is parsed, a body 4 MB, and what was read of a refused request stayed until the rest had been discarded. The same class: the descriptors of the process, and the probes' address with its 10,000 connections.

Intake accounts for connections without a complete request and for requests that are read or served, before their memory is allocated, and closes the oldest incomplete ones beyond a quarter of the machine's memory. At the connection limit a new connection replaces the oldest one without a complete request. What was read of a refused request is freed first, the probes' address has limits of its own, and larger blocks go back to the system when they are freed. This works because ordinary requests are complete soon after their first byte, so they are hardly ever the oldest.

--- a/include/peridotramp/ingress.h
+++ b/include/peridotramp/ingress.h
@@ -116,6 +116,10 @@
     bool firstStart = false;
     std::size_t threads = 2;
     std::size_t maxConnections = 4000;
+    /// Memory of the machine, of which callers may occupy a quarter with requests that are read or served.
+    ByteCount machineMemory { std::int64_t { 88 } * 1024 * 1024 };
+    /// File descriptors that the process may have open, of which connections of callers get three quarters.
+    std::size_t descriptors = 4096;
     /// Length of the sliding window to which the request limit of a workspace applies.
     Milliseconds allowanceWindow { 5000 };
     /// Fraction of an allowance by which the fleet may exceed it in a window while instances cannot learn of each
--- a/include/peridotramp/runtime.h
+++ b/include/peridotramp/runtime.h
@@ -137,6 +137,9 @@
         SlowReader,
         /// The connection exceeded `HttpServer::Init::maxConnections`.
         TooMany,
+        /// The memory for callers was used up, or the connection limit met, and this was the oldest connection whose
+        /// request was not complete.
+        Evicted,
         Count
     };
 
@@ -163,7 +166,11 @@
         std::function<HttpLimits()> limits = [] { return HttpLimits {}; };
         /// Unsent bytes of one response beyond which the caller is disconnected as too slow.
         std::size_t maxPendingBytes = std::size_t { 4 } * 1024 * 1024;
+        /// When it is met, a new connection replaces the oldest one that has not completed a request.
         std::size_t maxConnections = 10'000;
+        /// Memory for connections without a complete request and for requests that are read or served, together. When
+        /// it is used up, the oldest of those whose request is not complete are closed.
+        std::size_t maxRequestMemory = std::size_t { 64 } * 1024 * 1024;
         /// Called when a connection ends; it must not block.
         std::function<void(const ConnectionEnd&)> onConnectionEnd = [](const ConnectionEnd&) { };
     };
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -20,6 +20,10 @@
 constexpr Milliseconds operatorLagTolerance { 150 };
 // The endpoints' records are read in intervals, so instances differ by up to one interval and a call.
 constexpr Milliseconds endpointLagTolerance { 1000 };
+// Requests for probes and operators are small, and few at a time.
+constexpr HttpLimits adminLimits { .maxBodyBytes = std::size_t { 64 } * 1024, .readTimeout = Milliseconds(5000) };
+constexpr std::size_t maxAdminConnections = 128;
+constexpr std::size_t maxAdminRequestMemory = std::size_t { 2 } * 1024 * 1024;
 // Maximum number of running requests that a log line lists.
 constexpr std::size_t maxRequestsInLog = 20;
 
@@ -113,13 +117,17 @@
     const auto impl = this->shared_from_this();
     HttpServer::Init callerInit;
     callerInit.listen = this->init.callerAddress;
-    callerInit.maxConnections = this->init.maxConnections;
+    callerInit.maxConnections = std::min(this->init.maxConnections, this->init.descriptors * 3 / 4);
+    callerInit.maxRequestMemory = static_cast<std::size_t>(this->init.machineMemory.value / 4);
     callerInit.limits = [this] { return this->callerLimits(); };
     callerInit.onConnectionEnd = [this](const ConnectionEnd& end) { this->requestLog.write(end); };
     this->callerServer = std::make_unique<HttpServer>(this->runtime, std::move(callerInit),
         [this](HttpRequest request, const HttpExchange& exchange) { this->serve(std::move(request), exchange); });
     HttpServer::Init adminInit;
     adminInit.listen = this->init.adminAddress;
+    adminInit.limits = [] { return adminLimits; };
+    adminInit.maxConnections = maxAdminConnections;
+    adminInit.maxRequestMemory = maxAdminRequestMemory;
     this->adminServer = std::make_unique<HttpServer>(this->runtime, std::move(adminInit),
         [this](const HttpRequest& request, const HttpExchange& exchange) { this->serveAdmin(request, exchange); });
     this->startPeers();
--- a/src/ingress/settings.cpp
+++ b/src/ingress/settings.cpp
@@ -34,6 +34,10 @@
     init.firstStart = instance.flag("first_start", false);
     init.threads = static_cast<std::size_t>(instance.integer("threads", 2, 1, 64));
     init.maxConnections = static_cast<std::size_t>(instance.integer("max_connections", 4000, 10, 100'000));
+    constexpr std::int64_t megabyte = std::int64_t { 1024 } * 1024;
+    init.machineMemory
+        = { instance.integer("memory_mb", init.machineMemory.value / megabyte, 16, 1'000'000) * megabyte };
+    init.descriptors = static_cast<std::size_t>(instance.integer("descriptors", 4096, 64, 10'000'000));
     instance.rejectUnknownKeys();
 
     SectionReader listen(sectionOf(sections, "listen"), problems);
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -1,4 +1,5 @@
 #include "framing_p.h"
+#include "intake_p.h"
 
 #include <deque>
 #include <set>
@@ -8,7 +9,7 @@
 std::string_view toString(ConnectionEnd::Reason reason)
 {
     constexpr std::array<std::string_view, static_cast<std::size_t>(ConnectionEnd::Reason::Count)> names { "idle",
-        "stopping", "read_timeout", "refused", "left_in_request", "slow_reader", "too_many" };
+        "stopping", "read_timeout", "refused", "left_in_request", "slow_reader", "too_many", "evicted" };
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -18,6 +19,7 @@
         , handler(std::move(handler))
         , context(runtime.internals().context)
         , acceptor(asio::make_strand(this->context))
+        , intake(this->init.maxRequestMemory)
     {
     }
 
@@ -34,6 +36,7 @@
     std::atomic<std::size_t> exchanges = 0;
     std::mutex sessionsMutex {};
     std::set<HttpExchange::Session*> sessions {};
+    Intake intake;
 };
 
 // One connection. All members but the atomic ones are accessed only on the strand of the connection.
@@ -63,6 +66,7 @@
     ~Session()
     {
         --this->server->connections;
+        this->leaveIntake();
         const std::scoped_lock lock(this->server->sessionsMutex);
         this->server->sessions.erase(this);
     }
@@ -71,6 +75,7 @@
     asio::awaitable<void> run(std::shared_ptr<Session> self);
     asio::awaitable<ReadResult> receive(Duration limit);
     ReadResult readAvailable();
+    void countReceived(std::size_t size);
     asio::awaitable<bool> awaitRequest();
     asio::awaitable<boost::system::error_code> readMessage(HttpLimits limits);
     asio::awaitable<bool> readRequest();
@@ -87,6 +92,11 @@
     void stopDeadline();
     bool shouldKeepAlive() const;
     void reportConnectionEnd(ConnectionEnd::Reason reason) const;
+    void enterIntake();
+    void leaveIntake();
+    void evict();
+    std::size_t requestMemory() const;
+    void releaseRequest();
 
     std::shared_ptr<HttpServer::Impl> server;
     asio::ip::tcp::socket socket;
@@ -98,6 +108,11 @@
     // Start time and size of the request that is being read.
     TimePoint requestStartedAt {};
     std::size_t requestBytes = 0;
+    // Lines of its head, as far as it has been read.
+    std::size_t headLines = 0;
+    // Entry in the server's intake, unless this connection has completed a request and waits for the next one.
+    std::optional<Intake::Key> intakeKey {};
+    bool evicted = false;
     std::optional<http::request_parser<http::string_body>> parser {};
     std::deque<Part> parts {};
     // Cancelled to wake up the coroutine that writes parts; never expires.
@@ -125,6 +140,10 @@
 constexpr std::size_t discardInputBytes = std::size_t { 8 } * 1024 * 1024;
 // Time for a caller to read the parts written before its response was aborted.
 constexpr Milliseconds abortTimeout { 300 };
+// Memory of a connection: its buffer, coroutine and timers.
+constexpr std::size_t connectionMemory = std::size_t { 12 } * 1024;
+// Memory of a parsed field in addition to its bytes.
+constexpr std::size_t fieldMemory = 96;
 // Paths are truncated to this length in reports.
 constexpr std::size_t maxPathBytes = 100;
 
@@ -181,6 +200,49 @@
     });
 }
 
+void Session::enterIntake()
+{
+    if (this->intakeKey)
+        return;
+    this->intakeKey = this->server->intake.add(connectionMemory, [weak = this->weak_from_this()] {
+        const auto session = weak.lock();
+        if (!session)
+            return;
+        asio::post(session->socket.get_executor(), [session] { session->evict(); });
+    });
+}
+
+void Session::leaveIntake()
+{
+    if (const auto key = std::exchange(this->intakeKey, std::nullopt))
+        this->server->intake.remove(*key);
+}
+
+// Ends the connection: whoever waits for input finds the flag set.
+void Session::evict()
+{
+    this->evicted = true;
+    boost::system::error_code ignored;
+    static_cast<void>(this->socket.cancel(ignored));
+}
+
+// Returns the memory of the connection and of what has been read of its request.
+std::size_t Session::requestMemory() const
+{
+    // A body of unknown length is stored in a string that grows by doubling.
+    const bool hasUnknownLength = this->parser && this->parser->is_header_done() && this->parser->chunked();
+    return connectionMemory + this->headLines * fieldMemory + this->requestBytes * (hasUnknownLength ? 2 : 1);
+}
+
+// Frees what has been read of a request that is not served.
+void Session::releaseRequest()
+{
+    this->parser.reset();
+    this->buffer = beast::flat_buffer {};
+    if (this->intakeKey)
+        this->server->intake.shrink(*this->intakeKey, connectionMemory);
+}
+
 void Session::stopDeadline()
 {
     ++this->deadlineId;
@@ -347,6 +409,15 @@
     return std::nullopt;
 }
 
+ConnectionEnd::Reason endReasonOf(const boost::system::error_code& error)
+{
+    if (error == boost::system::errc::not_enough_memory)
+        return ConnectionEnd::Reason::Evicted;
+    if (error == asio::error::timed_out)
+        return ConnectionEnd::Reason::ReadTimeout;
+    return refusalStatusOf(error) ? ConnectionEnd::Reason::Refused : ConnectionEnd::Reason::LeftInRequest;
+}
+
 } // namespace
 
 asio::awaitable<void> Session::refuse(http::status status)
@@ -383,10 +454,20 @@
     if (error)
         return ReadResult::Closed;
     this->buffer.commit(size);
-    this->requestBytes += size;
+    this->countReceived(size);
     return ReadResult::Bytes;
 }
 
+// Counts bytes that have been appended to the buffer.
+void Session::countReceived(std::size_t size)
+{
+    this->requestBytes += size;
+    if (this->parser && this->parser->is_header_done())
+        return;
+    const auto* end = static_cast<const char*>(this->buffer.data().data()) + this->buffer.size();
+    this->headLines += static_cast<std::size_t>(std::count(end - size, end, '\n'));
+}
+
 // Waits for bytes until `limit` has passed or the socket's operations are cancelled. Bytes that are in the socket by
 // then are still read, because on a busy machine the process is notified of them late.
 asio::awaitable<Session::ReadResult> Session::receive(Duration limit)
@@ -403,7 +484,7 @@
     if (error)
         co_return ReadResult::Closed;
     this->buffer.commit(size);
-    this->requestBytes += size;
+    this->countReceived(size);
     co_return ReadResult::Bytes;
 }
 
@@ -428,6 +509,10 @@
         this->idle = true;
         received = co_await this->receive(remaining);
         this->idle = false;
+        if (this->evicted) {
+            this->reportConnectionEnd(ConnectionEnd::Reason::Evicted);
+            co_return false;
+        }
     }
     co_return received == ReadResult::Bytes;
 }
@@ -437,6 +522,8 @@
 {
     bool isHeadChecked = false;
     while (true) {
+        if (!this->server->intake.reserve(*this->intakeKey, this->requestMemory()))
+            co_return make_error_code(boost::system::errc::not_enough_memory);
         boost::system::error_code error;
         this->buffer.consume(this->parser->put(this->buffer.data(), error));
         // First, as the parser may already have failed on a body that it decodes in the wrong way.
@@ -459,6 +546,8 @@
             ? std::min<Duration>(limits.readTimeout, this->requestStartedAt + maxBodyTime - now)
             : this->requestStartedAt + limits.readTimeout - now;
         const auto received = co_await this->receive(std::max(remaining, Duration(0)));
+        if (this->evicted)
+            co_return make_error_code(boost::system::errc::not_enough_memory);
         if (received == ReadResult::Nothing)
             co_return asio::error::make_error_code(asio::error::timed_out);
         if (received == ReadResult::Closed)
@@ -468,8 +557,12 @@
 
 asio::awaitable<bool> Session::readRequest()
 {
-    this->requestBytes = this->buffer.size();
-    if (this->buffer.size() == 0) {
+    this->requestBytes = 0;
+    this->headLines = 0;
+    if (this->buffer.size() > 0) {
+        this->countReceived(this->buffer.size());
+    } else {
+        this->buffer = beast::flat_buffer {};
         const bool arrived = co_await this->awaitRequest();
         if (!arrived)
             co_return false;
@@ -478,17 +571,19 @@
     ++this->server->exchanges;
     const auto limits = this->server->init.limits();
     this->requestStartedAt = RuntimeClock::now();
+    this->enterIntake();
     this->parser.emplace();
     this->parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     this->parser->body_limit(limits.maxBodyBytes);
     this->parser->eager(true);
-    const auto error = co_await this->readMessage(limits);
+    auto error = co_await this->readMessage(limits);
+    if (!error && !this->server->intake.pin(*this->intakeKey))
+        error = make_error_code(boost::system::errc::not_enough_memory);
     if (!error)
         co_return true;
     const auto status = refusalStatusOf(error);
-    const auto refused
-        = status == http::status::request_timeout ? ConnectionEnd::Reason::ReadTimeout : ConnectionEnd::Reason::Refused;
-    this->reportConnectionEnd(status ? refused : ConnectionEnd::Reason::LeftInRequest);
+    this->reportConnectionEnd(endReasonOf(error));
+    this->releaseRequest();
     if (status)
         co_await this->refuse(*status);
     --this->server->exchanges;
@@ -499,6 +594,7 @@
 {
     while (co_await this->readRequest()) {
         co_await this->serveRequest();
+        this->leaveIntake();
         if (this->broken || !this->keepAlive)
             break;
     }
@@ -511,11 +607,13 @@
 
 void startSession(const std::shared_ptr<HttpServer::Impl>& server, asio::ip::tcp::socket socket)
 {
-    if (server->connections >= server->init.maxConnections) {
+    // The place of an evicted connection is free a moment later.
+    if (server->connections >= server->init.maxConnections && !server->intake.evictOldest()) {
         server->init.onConnectionEnd({ .reason = ConnectionEnd::Reason::TooMany });
         return;
     }
     auto session = std::make_shared<Session>(server, std::move(socket));
+    session->enterIntake();
     asio::co_spawn(session->socket.get_executor(), session->run(session), reportErrors("connection of a caller"));
 }
 
--- a/tools/peridot-ingress/main.cpp
+++ b/tools/peridot-ingress/main.cpp
@@ -1,12 +1,15 @@
 #include "../../platform/adapter.h"
 #include "../service_p.h"
 
+#include <malloc.h>
 #include <sys/stat.h>
 
 namespace {
 
 using namespace peridotramp;
 
+// Larger blocks, such as bodies of requests, go back to the system as soon as they are freed.
+constexpr int separateBlockBytes = 256 * 1024;
 // Interval at which the settings file is checked for changes, because they may come without a SIGHUP.
 constexpr Seconds settingsCheckInterval { 2 };
 
@@ -59,6 +62,7 @@
 
 int main(int argumentCount, char** arguments)
 {
+    mallopt(M_MMAP_THRESHOLD, separateBlockBytes);
     // A SIGHUP before `watchSettings` installs its handler needs no reload, because the settings are read after this.
     std::signal(SIGHUP, SIG_IGN);
     CLI::App app("peridot-ingress: HTTP front end of one instance on the platform; see docs/OPERATIONS.md");
