Close a connection that is evicted before it waits for input

A connection could be evicted between its start and its first read, or between two reads. It then waited for its next bytes, up to the idle timeout, while its memory counted as not yet freed and kept others from reserving any.

A connection checks for its eviction before it waits, and enters the intake on its own strand.

--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -472,6 +472,8 @@
 // then are still read, because on a busy machine the process is notified of them late.
 asio::awaitable<Session::ReadResult> Session::receive(Duration limit)
 {
+    if (this->evicted)
+        co_return ReadResult::Nothing;
     this->startDeadline(limit, [this] {
         boost::system::error_code ignored;
         static_cast<void>(this->socket.cancel(ignored));
@@ -592,6 +594,7 @@
 
 asio::awaitable<void> Session::run([[maybe_unused]] std::shared_ptr<Session> self)
 {
+    this->enterIntake();
     while (co_await this->readRequest()) {
         co_await this->serveRequest();
         this->leaveIntake();
@@ -613,7 +616,6 @@
         return;
     }
     auto session = std::make_shared<Session>(server, std::move(socket));
-    session->enterIntake();
     asio::co_spawn(session->socket.get_executor(), session->run(session), reportErrors("connection of a caller"));
 }
 
--- a/tests/runtime/intake.cpp
+++ b/tests/runtime/intake.cpp
@@ -106,6 +106,22 @@
     runtime.waitForStop();
 }
 
+// Guards against a connection that is evicted before it waits for input, and then waits for the whole idle timeout.
+TEST_CASE("a connection for which there is no memory is closed at once")
+{
+    Runtime runtime { { 2 } };
+    HttpServer::Init init;
+    init.maxRequestMemory = 1024;
+    HttpServer server(runtime, init,
+        [](const HttpRequest&, const HttpExchange& exchange) { exchange.respond(textResponse(200, "done")); });
+    runtime.start();
+    RawConnection caller(server.address());
+    caller.receive(Milliseconds(5000));
+    REQUIRE(caller.end() != RawConnection::End::Open);
+    runtime.stop();
+    runtime.waitForStop();
+}
+
 // Guards against connections that send nothing and leave no place for others.
 TEST_CASE("at its connection limit a server replaces the oldest connection that has completed no request")
 {
