--- a/src/runtime/http.cpp
+++ b/src/runtime/http.cpp
@@ -1,13 +1,11 @@
 #include "runtime_p.h"
 
-#include <boost/algorithm/string/predicate.hpp>
-
 namespace peridotramp {
 
 std::optional<std::string_view> HttpRequest::header(std::string_view name) const
 {
     const auto found = std::ranges::find_if(
-        this->headers, [&](const HttpHeader& header) { return boost::iequals(header.name, name); });
+        this->headers, [&](const HttpHeader& header) { return beast::iequals(header.name, name); });
     if (found == this->headers.end())
         return std::nullopt;
     return found->value;
--- a/tests/adapter/adapter.cpp
+++ b/tests/adapter/adapter.cpp
@@ -243,3 +243,21 @@
     store.newest(StoreTopic::DesiredState, {}, "", [&](Result<StorePage> result) { page = std::move(result); });
     REQUIRE_FALSE(page);
 }
+
+// Guards against callers whose heads of many short fields keep the process busy: with a search through all headers for
+// each of them, this request would take longer than the test may last.
+TEST_CASE("the time to decode a request does not grow with the square of its headers")
+{
+    constexpr int count = 200'000;
+    HttpRequest request { "GET", "/x", { { "Host", "h" }, { "Request-Id", "r" } }, {} };
+    for (int index = 0; index < count; ++index)
+        request.headers.push_back({ "h" + std::to_string(index), "v" });
+    request.headers.push_back({ "connection", "close , H7," });
+    request.headers.push_back({ "Connection", "h8" });
+    const auto decoded = platform::formats().decodeCaller(std::move(request));
+    REQUIRE(decoded);
+    // Without the two headers that are listed, and without `Connection` itself.
+    REQUIRE(decoded->headers.size() == count);
+    REQUIRE(std::ranges::none_of(
+        decoded->headers, [](const HttpHeader& header) { return header.name == "h7" || header.name == "h8"; }));
+}
--- a/tests/crowds/crowds.cpp
+++ b/tests/crowds/crowds.cpp
@@ -191,6 +191,7 @@
 const std::string shortFields = requestLine + repeated("a: b\r\n", headBytes);
 const std::string longHead = requestLine + repeated("a: " + std::string(1000, 'b') + "\r\n", 200'000);
 const std::string emptyLines = repeated("\r\n", 200'000);
+const std::string manyFields = shortFields + "\r\n";
 const std::string unfinishedBody = requestLine + "Content-Length: 4194304\r\n\r\n" + std::string(bodyBytes, 'x');
 
 } // namespace
@@ -223,7 +224,14 @@
     instance.requireStands(instance.callers, uploaders, unfinishedBody);
 }
 
-// Guards against the same at the address for probes, which would also take the instance out of service.
+// Guards against a process that is busy for minutes with complete requests of many fields, and answers nobody else.
+TEST_CASE("requests of many short fields leave ordinary callers answered")
+{
+    Instance instance;
+    instance.requireStands(instance.callers, crowdSize, manyFields);
+}
+
+// Guards against using up the memory at the address for probes, which would also take the instance out of service.
 TEST_CASE("heads and bodies that do not end leave the probes of the process answered")
 {
     Instance instance;
