--- a/tests/ingress/desiredstate.cpp
+++ b/tests/ingress/desiredstate.cpp
@@ -97,8 +97,9 @@
     REQUIRE(domain.all([](const Ingress& instance) { return !hasEndpoints(instance); }));
 }
 
-// Guards against a store that returns older records after its recovery and takes an instance back to them.
-TEST_CASE("an evacuation that another instance reported is not ended by an older snapshot of the store")
+// Guards against requests to an evacuated domain, because the own read of the store is not answered, and against an
+// evacuation that is lost once the store answers again.
+TEST_CASE("an evacuation arrives from another instance and lasts when the store answers again")
 {
     SilencedDomain domain;
     domain.reads.silent = true;
