--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,7 @@
-"""Turns are answered whole while the store is down; then all processes are killed at once and start again, and the store
-returns. The conversations go on, from turns answered before the outage and from turns answered during it.
+"""Programs spend their token budget while answers of the store are lost. Seconds later all processes are killed at once
+and start again, and the programs come back. The tokens handed out are counted by what the requesters received.
 
-TROUBLE=0 has neither disruption, TROUBLE=down only the outage, TROUBLE=kill only the kill."""
+TROUBLE=0 has neither disruption, TROUBLE=lost only the lost answers, TROUBLE=kill only the kill."""
 import asyncio
 import os
 import random
@@ -12,20 +12,22 @@
 from stand import Runner, System, fetch, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1")
-DOWN = TROUBLE in ("1", "down")
+LOST = TROUBLE in ("1", "lost")
 KILL = TROUBLE in ("1", "kill")
 SEED = int(os.environ.get("SEED", "1"))
 KEY = "key-of-tenant"
 EVENTS, TOKENS_PER_EVENT = 4, 23
-CONVERSATIONS = 30
-DOWN_S = 4.5
-RECOVER_S = 12.0
-LAST_S = 4.0
+TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
+TURNS = 8
+BUDGET = TURNS * TURN_TOKENS
+PROGRAMS = 40
+LOSS_S = 4.5
+LOSS_SHARE = 0.35
 CONFIG = {
     "version": 7,
-    "routes": [{"name": "chat", "host": "agents.example", "pathPrefix": "/chat/", "routeType": "stream",
-                "timeoutMs": 3000, "sloMs": 200, "priority": 0, "service": "models", "maxAttempts": 2,
-                "retainContext": True, "retentionS": 60.0, "public": False, "sticky": True, "resumable": False,
+    "routes": [{"name": "quote", "host": "agents.example", "pathPrefix": "/quote/", "routeType": "stream",
+                "timeoutMs": 3000, "sloMs": 200, "priority": 1, "service": "models", "maxAttempts": 2,
+                "retainContext": False, "retentionS": 60.0, "public": False, "sticky": True, "resumable": False,
                 "gapAimMs": 400}],
     "services": [{"name": "models", "healthPath": "/health", "maxConns": 180, "coldStartS": 0.0, "coldPerS": 0.0,
                   "engine": {"slots": 16, "kvCapacity": 534013, "tokensPerEvent": TOKENS_PER_EVENT}}],
@@ -34,50 +36,54 @@
 }
 
 
-class Conversation:
+class Program:
     def __init__(self, system, name, pick):
         self.system, self.name, self.pick = system, name, pick
-        self.last = None
-        self.tries = []
+        self.tokens = 0
+        self.statuses = []
 
     async def attempt(self):
-        """One requester attempt of the next turn. Returns the status and whether the answer was whole."""
+        """One requester attempt of a turn. Returns the status, or 0 when the channel broke off."""
         request = self.system.request_id()
-        instance = self.pick.choice(self.system.instances)
+        instance = self.pick.choice(self.system.of("zone-a"))
         headers = {"Host": "agents.example", "Request-Id": request, "Deadline-Ms": "3000",
-                   "Authorization": "Bearer " + KEY, "Model": "m", "Token-Count": f"200,{EVENTS * TOKENS_PER_EVENT}",
-                   "Program-Id": self.name, "Session-Id": self.name, "Finish-Ms": "20000", "Token-Budget": "100000"}
-        if self.last:
-            headers["Previous-Turn"] = self.last
-        self.system.record.write(f"sent {request} of {self.name} after {self.last} to {instance.name}")
-        status, whole, retry = 0, False, 0.3
+                   "Authorization": "Bearer " + KEY, "Model": "m", "Token-Count": f"200,{TURN_TOKENS}",
+                   "Program-Id": self.name, "Session-Id": self.name, "Finish-Ms": "20000",
+                   "Token-Budget": str(BUDGET)}
+        self.system.record.write(f"sent {request} program {self.name} to {instance.name}")
+        status, retry, events = 0, 0.2, 0
         try:
-            answer = await fetch(instance.front, "POST", "/chat/1", headers, b'{"say":"%s"}' % request.encode(), 4)
-            status, whole = answer["status"], answer["complete"]
-            retry = float(answer["headers"].get("retry-after", "0.3"))
+            answer = await fetch(instance.front, "POST", "/quote/1", headers, b"{}", 4)
+            status = answer["status"]
+            retry = float(answer["headers"].get("retry-after", "0.2"))
+            if status == 200:
+                events = answer["body"].count(b"\n\n")
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass
-        self.tries.append((self.system.record.now(), request, status))
-        self.system.record.write(f"answered {request} of {self.name} status {status} whole {int(whole)}")
-        if status == 200 and whole:
-            self.last = request
-            return True, retry
-        return False, retry
+        self.tokens += events * TOKENS_PER_EVENT
+        self.statuses.append(status)
+        self.system.record.write(f"answered {request} program {self.name} status {status} events {events}")
+        return status, retry
 
     async def turn(self):
         for _ in range(3):
-            whole, retry = await self.attempt()
-            if whole:
-                return True
+            status, retry = await self.attempt()
+            if status in (200, 402):
+                return status
             await asyncio.sleep(min(retry, 1.0))
-        return False
+        return status
 
-    async def keep_trying(self, until):
-        while self.system.record.now() < until:
-            whole, retry = await self.attempt()
-            if whole:
+    async def spend(self):
+        """Sub-agents in parallel, whose turns together spend the budget."""
+        await asyncio.gather(*(self.turn() for _ in range(TURNS)))
+
+    async def come_back(self):
+        """A program without end sends a turn twice more after a 402."""
+        refused = 0
+        for _ in range(2 * TURNS):
+            refused += await self.turn() == 402
+            if refused == 3:
                 return
-            await asyncio.sleep(max(0.3, min(retry, 1.0)))
 
 
 async def case():
@@ -85,52 +91,46 @@
     record = system.record
     runners = [Runner(system.store, record, f"m-{zone}-{number}", "models", zone, events=EVENTS)
                for zone in system.zones for number in (1, 2)]
+    system.store.trace.add("keyed.tokens")
     try:
         await system.start(CONFIG, runners)
         pick = random.Random(SEED)
-        early = [Conversation(system, f"early-{number}", pick) for number in range(CONVERSATIONS)]
-        late = [Conversation(system, f"late-{number}", pick) for number in range(CONVERSATIONS)]
-        for conversation in early + late:
-            await conversation.turn()
-        await asyncio.sleep(1)
-        if DOWN:
-            record.write(f"trouble: the store is down for {DOWN_S} s")
-            system.store.down = "busy"
-            asyncio.get_running_loop().call_later(DOWN_S, setattr, system.store, "down", None)
-        await asyncio.sleep(1)
-        answered = [conversation for conversation in late if await conversation.turn()]
-        record.write(f"{len(answered)} of {len(late)} turns were answered whole in the outage")
+        programs = [Program(system, f"p{number:03d}", pick) for number in range(PROGRAMS)]
+        loop = asyncio.get_running_loop()
+        if LOST:
+            record.write(f"trouble: {LOSS_SHARE} of the writes of the store are done and not answered")
+            system.store.lose_writes = LOSS_SHARE
+            loop.call_later(LOSS_S, setattr, system.store, "lose_writes", 0.0)
+
+        async def later(program, delay):
+            await asyncio.sleep(delay)
+            await program.spend()
+        await asyncio.gather(*(later(program, 0.3 + (LOSS_S - 0.5) * index / PROGRAMS)
+                               for index, program in enumerate(programs)))
+        record.write("all programs have stopped")
+        first = {program.name: program.tokens for program in programs}
+        await asyncio.sleep(6)
         if KILL:
             record.write("trouble: all processes are killed")
             await asyncio.gather(*(instance.kill() for instance in system.instances))
             await asyncio.sleep(1)
             await asyncio.gather(*(instance.start(system.command) for instance in system.instances))
-            record.write("all processes run again")
-        back = record.now()
-        if DOWN:
-            while system.store.down:
-                await asyncio.sleep(0.05)
-            record.write("the store is back")
-        # The machines are back once the processes run and the store answers.
-        back = record.now()
-        for instance in system.instances:
-            await instance.wait_ready()
-        await asyncio.gather(*(conversation.keep_trying(back + RECOVER_S) for conversation in early + answered))
-        run = {entry["request"] for runner in runners for entry in runner.runs}
-
-        def reached(conversation):
-            return any(request in run for at, request, _ in conversation.tries if at > back)
-
-        others = sum(map(reached, early))
-        lost = [conversation for conversation in answered if not reached(conversation)]
-        for conversation in lost:
-            statuses = [status for at, _, status in conversation.tries if at > back]
-            record.write(f"{conversation.name}: {conversation.last} was answered whole; tries since {statuses} LOST")
-        line = (f"LOST: {len(lost)} of {len(answered)} turns answered whole in the outage reach no runner by recoverS; "
-                f"{others} of {len(early)} others do")
+            await asyncio.gather(*(instance.wait_ready() for instance in system.instances))
+            record.write("all processes are ready again")
+        await asyncio.sleep(4)
+        for start in range(0, PROGRAMS, 8):
+            await asyncio.gather(*(program.come_back() for program in programs[start:start + 8]))
+        broken = 0
+        for program in programs:
+            over = program.tokens > BUDGET + TURN_TOKENS
+            broken += over
+            record.write(f"program {program.name} tokens {program.tokens} (before the restart {first[program.name]}) "
+                         f"budget {BUDGET} one turn {TURN_TOKENS}{' BROKEN' if over else ''} "
+                         f"statuses {program.statuses}")
+        line = f"BUDGET: {broken} of {PROGRAMS} programs got more than their budget and one turn"
         record.write(line)
         print(line)
-        return bool(lost) and others >= 0.8 * len(early)
+        return broken > 0
     finally:
         await system.stop()
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,7 @@
-"""Programs spend their token budget while the store is down. Late in the outage the two processes of one zone are
-killed; they start again when the store is back, and the programs come back. The tokens handed out are counted by what the requesters received.
+"""A runner leaves while the store is down. It says so in all its answers. Its requesters keep sending; the runner serves
+for drainMs and a little longer, and exits.
 
-TROUBLE=0 has neither disruption, TROUBLE=down only the outage, TROUBLE=kill only the kill. HOW is the kind of outage
-(silent or busy), VICTIMS the number of processes, AFTER the seconds from the store's return to their start."""
+TROUBLE=0 is the same without the outage: the runner's entry is removed at the same moment, and the store says so."""
 import asyncio
 import os
 import random
@@ -12,137 +11,94 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 from stand import Runner, System, fetch, run_case
 
-TROUBLE = os.environ.get("TROUBLE", "1")
-DOWN = TROUBLE in ("1", "down")
-KILL = TROUBLE in ("1", "kill")
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "1"))
 KEY = "key-of-tenant"
-EVENTS, TOKENS_PER_EVENT = 4, 23
-TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
-TURNS = 8
-BUDGET = TURNS * TURN_TOKENS
-PROGRAMS = 20
 DOWN_S = 4.5
-HOW = os.environ.get("HOW", "silent")
-SPEND_S = 2.0
-# The first processes of the zone are killed 1.5 s before the store returns, and start again shortly after it.
-VICTIMS = int(os.environ.get("VICTIMS", "2"))
-KILL_AFTER_S = 3.0
-START_AFTER_S = float(os.environ.get("AFTER", "0.3"))
+DRAIN_S = 2.0
+LINGER_S = 1.0
+CALLERS = 24
 CONFIG = {
     "version": 7,
-    "routes": [{"name": "quote", "host": "agents.example", "pathPrefix": "/quote/", "routeType": "stream",
-                "timeoutMs": 3000, "sloMs": 200, "priority": 1, "service": "models", "maxAttempts": 2,
-                "retainContext": False, "retentionS": 60.0, "public": False, "sticky": True, "resumable": False,
-                "gapAimMs": 400}],
-    "services": [{"name": "models", "healthPath": "/health", "maxConns": 180, "coldStartS": 0.0, "coldPerS": 0.0,
-                  "engine": {"slots": 16, "kvCapacity": 534013, "tokensPerEvent": TOKENS_PER_EVENT}}],
+    "routes": [{"name": "dispatch", "host": "agents.example", "pathPrefix": "/dispatch/",
+                "routeType": "non_idempotent", "timeoutMs": 3000, "sloMs": 400, "priority": 2, "service": "tools",
+                "maxAttempts": 1, "retainContext": False, "retentionS": 0, "public": False, "sticky": False,
+                "resumable": False}],
+    "services": [{"name": "tools", "healthPath": "/health", "maxConns": 110, "coldStartS": 0.0, "coldPerS": 0.0}],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     "tenants": [{"name": "tenant", "apiKeys": [KEY], "priority": 1, "ratePerS": 0, "burst": 0}],
 }
 
 
-class Program:
-    def __init__(self, system, name, pick):
-        self.system, self.name, self.pick = system, name, pick
-        self.tokens = 0
-        self.statuses = []
+class Caller:
+    def __init__(self, system, instance):
+        self.system, self.instance = system, instance
+        self.calls = []
 
-    async def attempt(self):
-        """One requester attempt of a turn. Returns the status, or 0 when the channel broke off."""
-        request = self.system.request_id()
-        instance = self.pick.choice(self.system.in_rotation("zone-a"))
-        headers = {"Host": "agents.example", "Request-Id": request, "Deadline-Ms": "3000",
-                   "Authorization": "Bearer " + KEY, "Model": "m", "Token-Count": f"200,{TURN_TOKENS}",
-                   "Program-Id": self.name, "Session-Id": self.name, "Finish-Ms": "20000",
-                   "Token-Budget": str(BUDGET)}
-        self.system.record.write(f"sent {request} program {self.name} to {instance.name}")
-        status, retry, events = 0, 0.2, 0
-        try:
-            answer = await fetch(instance.front, "POST", "/quote/1", headers, b"{}", 4)
-            status = answer["status"]
-            retry = float(answer["headers"].get("retry-after", "0.2"))
-            if status == 200:
-                events = answer["body"].count(b"\n\n")
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            pass
-        self.tokens += events * TOKENS_PER_EVENT
-        self.statuses.append(status)
-        self.system.record.write(f"answered {request} program {self.name} status {status} events {events}")
-        return status, retry
-
-    async def turn(self):
-        for _ in range(3):
-            status, retry = await self.attempt()
-            if status in (200, 402):
-                return status
-            await asyncio.sleep(min(retry, 1.0))
-        return status
-
-    async def spend(self):
-        """Sub-agents in parallel, whose turns together spend the budget."""
-        await asyncio.gather(*(self.turn() for _ in range(TURNS)))
-
-    async def come_back(self):
-        """A program without end sends a turn twice more after a 402."""
-        refused = 0
-        for _ in range(2 * TURNS):
-            refused += await self.turn() == 402
-            if refused == 3:
-                return
+    async def run(self, until):
+        while self.system.record.now() < until:
+            request = self.system.request_id()
+            headers = {"Host": "agents.example", "Request-Id": request, "Deadline-Ms": "3000",
+                       "Authorization": "Bearer " + KEY}
+            call = {"request": request, "sent": self.system.record.now(), "status": 0, "leaving": False,
+                    "instance": self.instance.name}
+            self.system.record.write(f"sent {request} to {self.instance.name}")
+            try:
+                answer = await fetch(self.instance.front, "POST", "/dispatch/1", headers, b"{}", 4)
+                call["status"] = answer["status"]
+                call["leaving"] = answer["headers"].get("server-leaving") == "1"
+                call["seal"] = answer["headers"].get("server-seal", "")
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                pass
+            call["answered"] = self.system.record.now()
+            self.system.record.write(
+                f"answered {request} status {call['status']} leaving {int(call['leaving'])}")
+            self.calls.append(call)
+            await asyncio.sleep(0.05)
 
 
 async def case():
     system = System(HERE, SEED)
     record = system.record
-    runners = [Runner(system.store, record, f"m-{zone}-{number}", "models", zone, events=EVENTS)
+    runners = [Runner(system.store, record, f"t-{zone}-{number}", "tools", zone, slots=6, work_s=0.08)
                for zone in system.zones for number in (1, 2)]
-    system.store.trace.add("keyed.tokens")
+    leaver = runners[0]
     try:
         await system.start(CONFIG, runners)
-        system.start_balancer()
-        pick = random.Random(SEED)
-        programs = [Program(system, f"p{number:03d}", pick) for number in range(PROGRAMS)]
-        loop = asyncio.get_running_loop()
-        down_at = record.now()
-        if DOWN:
+        callers = [Caller(system, system.instances[index % len(system.instances)]) for index in range(CALLERS)]
+        running = asyncio.gather(*(caller.run(record.now() + 8.0) for caller in callers))
+        await asyncio.sleep(1)
+        if TROUBLE:
             record.write(f"trouble: the store is down for {DOWN_S} s")
-            system.store.down = HOW
-            loop.call_later(DOWN_S, setattr, system.store, "down", None)
-
-        async def later(program, delay):
-            await asyncio.sleep(delay)
-            await program.spend()
-        await asyncio.gather(*(later(program, 0.5 + (SPEND_S - 0.5) * index / PROGRAMS)
-                               for index, program in enumerate(programs)))
-        record.write("all programs have stopped")
-        first = {program.name: program.tokens for program in programs}
-        while record.now() < down_at + KILL_AFTER_S:
-            await asyncio.sleep(0.02)
-        victims = system.of("zone-a")[:VICTIMS]
-        if KILL:
-            record.write(f"trouble: {[victim.name for victim in victims]} are killed")
-            await asyncio.gather(*(victim.kill() for victim in victims))
-        while record.now() < down_at + DOWN_S:
-            await asyncio.sleep(0.02)
-        record.write("the store is up")
-        await asyncio.sleep(START_AFTER_S)
-        if KILL:
-            await asyncio.gather(*(victim.start(system.command) for victim in victims))
-            await asyncio.gather(*(victim.wait_ready() for victim in victims))
-            record.write("they run again and are ready")
-        await asyncio.gather(*(program.come_back() for program in programs))
-        broken = 0
-        for program in programs:
-            over = program.tokens > BUDGET + TURN_TOKENS
-            broken += over
-            record.write(f"program {program.name} tokens {program.tokens} (before the restart {first[program.name]}) "
-                         f"budget {BUDGET} one turn {TURN_TOKENS}{' BROKEN' if over else ''} "
-                         f"statuses {program.statuses}")
-        line = f"BUDGET: {broken} of {PROGRAMS} programs got more than their budget and one turn"
+            system.store.down = "busy"
+            asyncio.get_running_loop().call_later(DOWN_S, setattr, system.store, "down", None)
+        await asyncio.sleep(0.3)
+        record.write(f"{leaver.name} leaves: its entry is removed, and its answers say so")
+        leaver.leaving = True
+        await leaver.remove_entry()
+        await asyncio.sleep(DRAIN_S + LINGER_S)
+        record.write(f"{leaver.name} exits")
+        leaver.exit()
+        await running
+        calls = {call["request"]: call for caller in callers for call in caller.calls}
+        told = {}
+        for call in calls.values():
+            if call["leaving"]:
+                told[call["instance"]] = min(call["answered"], told.get(call["instance"], 1e9))
+        late = [calls[run["request"]] for run in leaver.runs if run["request"] in calls]
+        late = [call for call in late if call["sent"] > told.get(call["instance"], 1e9) + DRAIN_S]
+        cut = [call for call in late if call["status"] != 200]
+        for call in late:
+            record.write(f"{call['request']} was sent {call['sent'] - told[call['instance']]:.2f} s after "
+                         f"{call['instance']} had passed on that {leaver.name} leaves; status {call['status']}")
+        statuses = {}
+        for call in calls.values():
+            statuses[call["status"]] = statuses.get(call["status"], 0) + 1
+        line = (f"DRAIN: {len(late)} requests sent over {DRAIN_S} s after Server-Leaving reached that runner, "
+                f"{len(cut)} of them ended without its answer; statuses of all requests {statuses}")
         record.write(line)
         print(line)
-        return broken > 0
+        return bool(late)
     finally:
         await system.stop()
 
