Show conversations that a planned restart loses half a minute after an outage

Three of six processes are killed while the store is down. The turns in their write queues are known to other instances, go on, and are never written.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,104 +1,145 @@
-"""A runner leaves while the store is down. It says so in all its answers. Its requesters keep sending; the runner serves
-for drainMs and a little longer, and exits.
+"""A turn is answered whole while the store is down, and the conversation goes on at another machine. Half of the processes
+are killed in the outage and start again. All is well for 12 s: the store is up, and the conversations go on. Then the
+operator restarts all machines in turn (SIGTERM), while the conversations pause.
 
-TROUBLE=0 is the same without the outage: the runner's entry is removed at the same moment, and the store says so."""
+TROUBLE=0 has only the planned restart, TROUBLE=down the outage and the restart, TROUBLE=kill the kill and the restart."""
 import asyncio
 import os
 import random
+import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 from stand import Runner, System, fetch, run_case
 
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+TROUBLE = os.environ.get("TROUBLE", "1")
+DOWN = TROUBLE in ("1", "down")
+KILL = TROUBLE in ("1", "kill")
 SEED = int(os.environ.get("SEED", "1"))
 KEY = "key-of-tenant"
+EVENTS, TOKENS_PER_EVENT = 4, 23
+CONVERSATIONS = 40
 DOWN_S = 4.5
-DRAIN_S = 2.0
-LINGER_S = 1.0
-CALLERS = 24
+CALM_S = 12.0
+GAP_S = 1.3
+GRACE_S = 8.0
+TRIES = 8
 CONFIG = {
     "version": 7,
-    "routes": [{"name": "dispatch", "host": "agents.example", "pathPrefix": "/dispatch/",
-                "routeType": "non_idempotent", "timeoutMs": 3000, "sloMs": 400, "priority": 2, "service": "tools",
-                "maxAttempts": 1, "retainContext": False, "retentionS": 0, "public": False, "sticky": False,
-                "resumable": False}],
-    "services": [{"name": "tools", "healthPath": "/health", "maxConns": 110, "coldStartS": 0.0, "coldPerS": 0.0}],
+    "routes": [{"name": "chat", "host": "agents.example", "pathPrefix": "/chat/", "routeType": "stream",
+                "timeoutMs": 3000, "sloMs": 200, "priority": 0, "service": "models", "maxAttempts": 2,
+                "retainContext": True, "retentionS": 60.0, "public": False, "sticky": True, "resumable": False,
+                "gapAimMs": 400}],
+    "services": [{"name": "models", "healthPath": "/health", "maxConns": 180, "coldStartS": 0.0, "coldPerS": 0.0,
+                  "engine": {"slots": 16, "kvCapacity": 534013, "tokensPerEvent": TOKENS_PER_EVENT}}],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     "tenants": [{"name": "tenant", "apiKeys": [KEY], "priority": 1, "ratePerS": 0, "burst": 0}],
 }
 
 
-class Caller:
-    def __init__(self, system, instance):
-        self.system, self.instance = system, instance
-        self.calls = []
+class Conversation:
+    def __init__(self, system, name):
+        self.system, self.name = system, name
+        self.last, self.answered_at = None, 0.0
+        self.tries = []
 
-    async def run(self, until):
-        while self.system.record.now() < until:
-            request = self.system.request_id()
-            headers = {"Host": "agents.example", "Request-Id": request, "Deadline-Ms": "3000",
-                       "Authorization": "Bearer " + KEY}
-            call = {"request": request, "sent": self.system.record.now(), "status": 0, "leaving": False,
-                    "instance": self.instance.name}
-            self.system.record.write(f"sent {request} to {self.instance.name}")
-            try:
-                answer = await fetch(self.instance.front, "POST", "/dispatch/1", headers, b"{}", 4)
-                call["status"] = answer["status"]
-                call["leaving"] = answer["headers"].get("server-leaving") == "1"
-                call["seal"] = answer["headers"].get("server-seal", "")
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-                pass
-            call["answered"] = self.system.record.now()
-            self.system.record.write(
-                f"answered {request} status {call['status']} leaving {int(call['leaving'])}")
-            self.calls.append(call)
-            await asyncio.sleep(0.05)
+    async def attempt(self, instance):
+        """One requester attempt of the next turn. Returns whether it was answered whole."""
+        request = self.system.request_id()
+        headers = {"Host": "agents.example", "Request-Id": request, "Deadline-Ms": "3000",
+                   "Authorization": "Bearer " + KEY, "Model": "m", "Token-Count": f"200,{EVENTS * TOKENS_PER_EVENT}",
+                   "Program-Id": self.name, "Session-Id": self.name, "Finish-Ms": "60000", "Token-Budget": "100000"}
+        if self.last:
+            headers["Previous-Turn"] = self.last
+        self.system.record.write(f"sent {request} of {self.name} after {self.last} to {instance.name}")
+        status, whole = 0, False
+        try:
+            answer = await fetch(instance.front, "POST", "/chat/1", headers, b'{"say":"%s"}' % request.encode(), 4)
+            status, whole = answer["status"], answer["complete"]
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass
+        self.tries.append((self.system.record.now(), request, status))
+        self.system.record.write(f"answered {request} of {self.name} status {status} whole {int(whole)}")
+        if status == 200 and whole:
+            self.last, self.answered_at = request, self.system.record.now()
+            return True
+        return False
+
+    async def turn(self, instances, tries=3):
+        for number in range(tries):
+            if await self.attempt(instances[number % len(instances)]):
+                return True
+            await asyncio.sleep(0.3)
+        return False
+
+
+async def restart(system, instance):
+    instance.process.send_signal(signal.SIGTERM)
+    await asyncio.wait_for(instance.process.wait(), GRACE_S)
+    system.record.write(f"{instance.name} has ended")
+    await instance.start(system.command)
+    await instance.wait_ready()
 
 
 async def case():
     system = System(HERE, SEED)
     record = system.record
-    runners = [Runner(system.store, record, f"t-{zone}-{number}", "tools", zone, slots=6, work_s=0.08)
+    runners = [Runner(system.store, record, f"m-{zone}-{number}", "models", zone, events=EVENTS)
                for zone in system.zones for number in (1, 2)]
-    leaver = runners[0]
     try:
         await system.start(CONFIG, runners)
-        callers = [Caller(system, system.instances[index % len(system.instances)]) for index in range(CALLERS)]
-        running = asyncio.gather(*(caller.run(record.now() + 8.0) for caller in callers))
-        await asyncio.sleep(1)
-        if TROUBLE:
+        first, second = system.of("zone-a")
+        talks = [Conversation(system, f"c{number:02d}") for number in range(CONVERSATIONS)]
+        if DOWN:
             record.write(f"trouble: the store is down for {DOWN_S} s")
             system.store.down = "busy"
             asyncio.get_running_loop().call_later(DOWN_S, setattr, system.store, "down", None)
+        down_at = record.now()
         await asyncio.sleep(0.3)
-        record.write(f"{leaver.name} leaves: its entry is removed, and its answers say so")
-        leaver.leaving = True
-        await leaver.remove_entry()
-        await asyncio.sleep(DRAIN_S + LINGER_S)
-        record.write(f"{leaver.name} exits")
-        leaver.exit()
-        await running
-        calls = {call["request"]: call for caller in callers for call in caller.calls}
-        told = {}
-        for call in calls.values():
-            if call["leaving"]:
-                told[call["instance"]] = min(call["answered"], told.get(call["instance"], 1e9))
-        late = [calls[run["request"]] for run in leaver.runs if run["request"] in calls]
-        late = [call for call in late if call["sent"] > told.get(call["instance"], 1e9) + DRAIN_S]
-        cut = [call for call in late if call["status"] != 200]
-        for call in late:
-            record.write(f"{call['request']} was sent {call['sent'] - told[call['instance']]:.2f} s after "
-                         f"{call['instance']} had passed on that {leaver.name} leaves; status {call['status']}")
-        statuses = {}
-        for call in calls.values():
-            statuses[call["status"]] = statuses.get(call["status"], 0) + 1
-        line = (f"DRAIN: {len(late)} requests sent over {DRAIN_S} s after Server-Leaving reached that runner, "
-                f"{len(cut)} of them ended without its answer; statuses of all requests {statuses}")
+        await asyncio.gather(*(talk.turn([first]) for talk in talks))
+        await asyncio.gather(*(talk.turn([second]) for talk in talks))
+        await asyncio.sleep(max(0, down_at + 3.0 - record.now()))
+        victims = [system.of(zone)[0] for zone in system.zones]
+        if KILL:
+            record.write(f"trouble: {[victim.name for victim in victims]} are killed")
+            await asyncio.gather(*(victim.kill() for victim in victims))
+        await asyncio.sleep(max(0, down_at + DOWN_S + 0.3 - record.now()))
+        record.write("the store is up")
+        if KILL:
+            await asyncio.gather(*(victim.start(system.command) for victim in victims))
+            await asyncio.gather(*(victim.wait_ready() for victim in victims))
+            record.write("they run again")
+        await asyncio.sleep(CALM_S / 2)
+        await asyncio.gather(*(talk.turn([second]) for talk in talks))
+        await asyncio.sleep(CALM_S / 2)
+        going = [talk for talk in talks if await talk.turn([second])]
+        record.write(f"{len(going)} of {len(talks)} conversations go on after {CALM_S} s of calm")
+        record.write("planned: all machines are restarted in turn")
+        restarts = []
+        for number in range(2):
+            for zone in system.zones:
+                restarts.append(asyncio.ensure_future(restart(system, system.of(zone)[number])))
+                await asyncio.sleep(GAP_S)
+        await asyncio.gather(*restarts)
+        await asyncio.sleep(4)
+        began = record.now()
+        record.write("all machines are back; the conversations go on")
+        fresh = [Conversation(system, f"f{number:02d}") for number in range(10)]
+        order = [system.of(zone)[number] for number in range(2) for zone in system.zones]
+        random.Random(SEED).shuffle(order)
+        reached = await asyncio.gather(*(talk.turn(order, TRIES) for talk in going + fresh))
+        lost = [talk for talk, whole in zip(going, reached) if not whole]
+        served = sum(reached[len(going):])
+        for talk in lost:
+            statuses = [status for at, _, status in talk.tries if at > began]
+            record.write(f"{talk.name}: {talk.last} was answered whole {began - talk.answered_at:.1f} s before; "
+                         f"tries since {statuses} LOST")
+        line = (f"LOST: {len(lost)} of {len(going)} conversations reach no runner in {TRIES} tries after a planned restart; "
+                f"{served} of {len(fresh)} first turns do")
         record.write(line)
         print(line)
-        return bool(late)
+        return bool(lost) and served >= 0.9 * len(fresh)
     finally:
         await system.stop()
 
