--- a/review/standins-2/stand.py
+++ b/review/standins-2/stand.py
@@ -343,7 +343,9 @@
         end = time.monotonic() + limit_s
         while not await self.is_ready():
             if time.monotonic() > end:
-                raise RuntimeError(self.name + " is not ready")
+                with open(self.log_path) as file:
+                    last = file.read().splitlines()[-1:]
+                raise RuntimeError(f"{self.name} is not ready (process status {self.process.returncode}): {last}")
             await asyncio.sleep(0.05)
 
 
