--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,9 @@
-"""A runner leaves while the store is down. It says so in all its answers. Its requesters keep sending; the runner serves
-for drainMs and a little longer, and exits.
+"""A tenant uses its whole allowance within a second. Then all processes are killed at once and start again, while the tenant
+goes on pressing. Counted is what arrives at the runners in any window.
 
-TROUBLE=0 is the same without the outage: the runner's entry is removed at the same moment, and the store says so."""
+TROUBLE=0 has the same traffic without the kill."""
 import asyncio
+import bisect
 import os
 import random
 import sys
@@ -14,10 +15,13 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "1"))
 KEY = "key-of-tenant"
-DOWN_S = 4.5
-DRAIN_S = 2.0
-LINGER_S = 1.0
+RATE_PER_S, BURST = 40, 40
+WINDOW_S, OVERRUN, SLACK = 5, 0.1, 20
+BOUND = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERRUN) + SLACK
 CALLERS = 24
+BURST_S = 1.2
+DOWN_S = 1.0
+RUN_S = 9.0
 CONFIG = {
     "version": 7,
     "routes": [{"name": "dispatch", "host": "agents.example", "pathPrefix": "/dispatch/",
@@ -26,79 +30,63 @@
                 "resumable": False}],
     "services": [{"name": "tools", "healthPath": "/health", "maxConns": 110, "coldStartS": 0.0, "coldPerS": 0.0}],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-    "tenants": [{"name": "tenant", "apiKeys": [KEY], "priority": 1, "ratePerS": 0, "burst": 0}],
+    "tenants": [{"name": "tenant", "apiKeys": [KEY], "priority": 1, "ratePerS": RATE_PER_S, "burst": BURST}],
 }
 
 
-class Caller:
-    def __init__(self, system, instance):
-        self.system, self.instance = system, instance
-        self.calls = []
-
-    async def run(self, until):
-        while self.system.record.now() < until:
-            request = self.system.request_id()
-            headers = {"Host": "agents.example", "Request-Id": request, "Deadline-Ms": "3000",
-                       "Authorization": "Bearer " + KEY}
-            call = {"request": request, "sent": self.system.record.now(), "status": 0, "leaving": False,
-                    "instance": self.instance.name}
-            self.system.record.write(f"sent {request} to {self.instance.name}")
-            try:
-                answer = await fetch(self.instance.front, "POST", "/dispatch/1", headers, b"{}", 4)
-                call["status"] = answer["status"]
-                call["leaving"] = answer["headers"].get("server-leaving") == "1"
-                call["seal"] = answer["headers"].get("server-seal", "")
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-                pass
-            call["answered"] = self.system.record.now()
-            self.system.record.write(
-                f"answered {request} status {call['status']} leaving {int(call['leaving'])}")
-            self.calls.append(call)
-            await asyncio.sleep(0.05)
+async def press(system, pick, until, sent, statuses):
+    while system.record.now() < until:
+        request = system.request_id()
+        instance = pick.choice(system.instances)
+        headers = {"Host": "agents.example", "Request-Id": request, "Deadline-Ms": "3000",
+                   "Authorization": "Bearer " + KEY}
+        sent[request] = system.record.now()
+        system.record.write(f"sent {request} to {instance.name}")
+        status = 0
+        try:
+            status = (await fetch(instance.front, "POST", "/dispatch/1", headers, b"{}", 4))["status"]
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass
+        statuses[status] = statuses.get(status, 0) + 1
+        system.record.write(f"answered {request} status {status}")
+        await asyncio.sleep(pick.uniform(0.02, 0.08))
 
 
 async def case():
     system = System(HERE, SEED)
     record = system.record
-    runners = [Runner(system.store, record, f"t-{zone}-{number}", "tools", zone, slots=6, work_s=0.08)
+    runners = [Runner(system.store, record, f"t-{zone}-{number}", "tools", zone, slots=40, work_s=0.01)
                for zone in system.zones for number in (1, 2)]
-    leaver = runners[0]
     try:
         await system.start(CONFIG, runners)
-        callers = [Caller(system, system.instances[index % len(system.instances)]) for index in range(CALLERS)]
-        running = asyncio.gather(*(caller.run(record.now() + 8.0) for caller in callers))
-        await asyncio.sleep(1)
+        await asyncio.sleep(WINDOW_S)
+        began = record.now()
+        sent, statuses = {}, {}
+        pick = random.Random(SEED)
+        pressing = asyncio.gather(*(press(system, pick, began + RUN_S, sent, statuses) for _ in range(CALLERS)))
+        await asyncio.sleep(BURST_S)
         if TROUBLE:
-            record.write(f"trouble: the store is down for {DOWN_S} s")
-            system.store.down = "busy"
-            asyncio.get_running_loop().call_later(DOWN_S, setattr, system.store, "down", None)
-        await asyncio.sleep(0.3)
-        record.write(f"{leaver.name} leaves: its entry is removed, and its answers say so")
-        leaver.leaving = True
-        await leaver.remove_entry()
-        await asyncio.sleep(DRAIN_S + LINGER_S)
-        record.write(f"{leaver.name} exits")
-        leaver.exit()
-        await running
-        calls = {call["request"]: call for caller in callers for call in caller.calls}
-        told = {}
-        for call in calls.values():
-            if call["leaving"]:
-                told[call["instance"]] = min(call["answered"], told.get(call["instance"], 1e9))
-        late = [calls[run["request"]] for run in leaver.runs if run["request"] in calls]
-        late = [call for call in late if call["sent"] > told.get(call["instance"], 1e9) + DRAIN_S]
-        cut = [call for call in late if call["status"] != 200]
-        for call in late:
-            record.write(f"{call['request']} was sent {call['sent'] - told[call['instance']]:.2f} s after "
-                         f"{call['instance']} had passed on that {leaver.name} leaves; status {call['status']}")
-        statuses = {}
-        for call in calls.values():
-            statuses[call["status"]] = statuses.get(call["status"], 0) + 1
-        line = (f"DRAIN: {len(late)} requests sent over {DRAIN_S} s after Server-Leaving reached that runner, "
-                f"{len(cut)} of them ended without its answer; statuses of all requests {statuses}")
+            record.write("trouble: all processes are killed")
+            await asyncio.gather(*(instance.kill() for instance in system.instances))
+            await asyncio.sleep(DOWN_S)
+            await asyncio.gather(*(instance.start(system.command) for instance in system.instances))
+            record.write("all processes run again")
+        await pressing
+        arrivals = sorted((run["at"], run["request"]) for runner in runners for run in runner.runs)
+        times = [at for at, _ in arrivals]
+        worst, worst_at = 0, 0.0
+        for first, at in enumerate(times):
+            last = bisect.bisect_left(times, at + WINDOW_S)
+            # Requests that were both sent and run in the window.
+            count = sum(1 for _, request in arrivals[first:last] if sent.get(request, 0) >= at)
+            if count > worst:
+                worst, worst_at = count, at
+        before = sum(1 for at in times if at < began + BURST_S)
+        line = (f"QUOTA: {worst} requests in the {WINDOW_S} s from {worst_at - began:.1f} s on, {BOUND:.0f} are allowed; "
+                f"{before} of them in the first {BURST_S} s; statuses {statuses}")
         record.write(line)
         print(line)
-        return bool(late)
+        return worst > BOUND
     finally:
         await system.stop()
 
