Take the ports of a case from one block that is held for the run

Cause: each process of a case picked its ports at random without regard to the others of the run. By the numbers one run in 134 gave two processes the same port; the second one then ends with "cannot bind" and the case with status 2, "is not ready". Cases beside each other met more often. Forced, the same port for two processes gives this message. Change: a run takes its ports from a block of 32, whose first one stays bound, so that no other run picks the block.

--- a/review/standins-2/stand.py
+++ b/review/standins-2/stand.py
@@ -36,20 +36,38 @@
         self.file.flush()
 
 
-def free_ports(count):
-    """Returns ports that are free for TCP and UDP, below the range from which outgoing channels take theirs."""
-    ports = []
-    while len(ports) < count:
-        port = random.SystemRandom().randrange(12_000, 30_000)
-        try:
-            with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
-        except OSError:
-            continue
-        if port not in ports:
-            ports.append(port)
-    return ports
+class FreePorts:
+    """Ports that are free for TCP and UDP, below the range from which outgoing channels take theirs.
+
+    They come from one block of ports. Its first one is bound for the whole run, so that no two processes of this run, and
+    no two runs beside each other, get the same port."""
+
+    BLOCK = 32
+
+    def __init__(self):
+        while True:
+            self.next = random.SystemRandom().randrange(12_000, 30_000, self.BLOCK)
+            self.guard = socket.socket()
+            try:
+                self.guard.bind(("127.0.0.1", self.next))
+                return
+            except OSError:
+                self.guard.close()
+
+    def take(self, count):
+        ports = []
+        while len(ports) < count:
+            self.next += 1
+            if self.next % self.BLOCK == 12_000 % self.BLOCK:
+                raise RuntimeError("no free ports left in the block")
+            try:
+                with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+                    tcp.bind(("127.0.0.1", self.next))
+                    udp.bind(("127.0.0.1", self.next))
+            except OSError:
+                continue
+            ports.append(self.next)
+        return ports
 
 
 async def read_head(reader):
@@ -285,8 +303,7 @@
 class Instance:
     """One process under test, started with the command and the settings template of the deploy file."""
 
-    def __init__(self, folder, name, zone, zones, store, memory_mb=300):
-        ports = free_ports(3)
+    def __init__(self, folder, name, zone, zones, store, ports, memory_mb=300):
         self.name, self.zone = name, zone
         self.front, self.ready, self.peer = (f"127.0.0.1:{port}" for port in ports)
         self.fields = {
@@ -403,6 +420,7 @@
         self.zones = {"zone-a": "region-1", "zone-b": "region-1", "zone-c": "region-1"}
         self.per_zone = per_zone
         self.instances, self.runners = [], []
+        self.ports = FreePorts()
         self.command = deploy_command()
         self.numbers = 0
         self.keep_logs = os.environ.get("KEEP_LOGS")
@@ -416,7 +434,7 @@
         for zone in self.zones:
             for number in range(1, self.per_zone + 1):
                 self.instances.append(Instance(
-                    self.folder, f"front-{zone}-{number}", zone, self.zones, self.store))
+                    self.folder, f"front-{zone}-{number}", zone, self.zones, self.store, self.ports.take(3)))
         await asyncio.gather(*(instance.start(self.command) for instance in self.instances))
         for instance in self.instances:
             await instance.wait_ready()
