Store the turns of an outage that only the memory of instances has

Cause: whether a turn is stored was known only to the queues of writes of the instances that had answered or copied it. If these end during the outage, other instances that know the turn for the next one of the conversation never write it, and a stop hands over only what waits in the queue of a held partition.

Ruled out: that the stop alone is at fault. Without any stop the new test finds the turn missing in the store after 20 s.

Change: messages with turns say which of them the store has. An instance keeps turns that may not be stored for the whole retention, asks the holders of the partition about them once the store has settled, and writes those that none has stored. A stop hands over such turns of all partitions.

--- a/include/peridotramp/conversations.h
+++ b/include/peridotramp/conversations.h
@@ -35,14 +35,36 @@
     StorePartition partition;
 };
 
+/// A turn, and whether the metadata store is known to have it.
+struct HeldTurn {
+    ConversationTurn turn;
+    bool isStored = false;
+};
+
+/// A turn that the metadata store is not known to have.
+struct UnstoredTurn {
+    SharedTurn turn;
+    /// Since when this instance has known that.
+    TimePoint since {};
+};
+
 /// Turns that this instance has in memory.
 class ConversationTable {
 public:
     /// Adds a turn that is kept until `keepUntil`, or extends the retention of a known one. `storedIn` is the partition
-    /// of the metadata store that contains the turn, if it is known to be there.
+    /// of the metadata store in which the turn has to be searched once it has been dropped from memory.
     void add(ConversationTurn turn, TimePoint keepUntil, std::optional<StorePartition> storedIn);
     /// Returns a turn and extends its retention; null when it is not known.
     SharedTurn find(std::string_view id, TimePoint keepUntil);
+    /// Notes that the metadata store has a turn. Turns that are not in memory are ignored.
+    void markStored(std::string_view id);
+    /// Notes that whoever sent a turn did not know whether the metadata store has it; changes nothing once this
+    /// instance knows that the store has it.
+    void markUnstored(std::string_view id, TimePoint now);
+    /// Whether the metadata store is known to have a turn.
+    bool isStored(std::string_view id) const;
+    /// Returns the turns that the metadata store is not known to have.
+    std::vector<UnstoredTurn> unstored() const;
     /// Drops turns whose retention has ended and returns those of them that the metadata store may still contain.
     std::vector<ExpiredTurn> expire(TimePoint now);
     std::size_t size() const { return this->turns.size(); }
@@ -53,9 +75,11 @@
         SharedTurn turn;
         TimePoint keepUntil;
         std::optional<StorePartition> storedIn;
+        bool isStored = false;
     };
 
     std::map<std::string, Entry, std::less<>> turns;
+    std::map<std::string, TimePoint, std::less<>> unstoredSince;
     ByteCount totalBytes;
 };
 
--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -236,7 +236,7 @@
 
 struct HistoryReply {
     /// Turns up to `turn`, oldest first; empty when the instance does not hold `turn`.
-    std::vector<ConversationTurn> turns;
+    std::vector<HeldTurn> turns;
     /// Whether the instance has read its partitions of the metadata store up to the end that they had after the request
     /// was received.
     bool hasReadPartitions = false;
@@ -271,7 +271,7 @@
 struct BeginTurnReply {
     ProgramStage stage = ProgramStage::Continues;
     /// Oldest first.
-    std::vector<ConversationTurn> history;
+    std::vector<HeldTurn> history;
 };
 
 /// Reports the end of a turn to the instance that was asked to hold its tokens. Repeated until it is acknowledged;
@@ -283,10 +283,19 @@
     /// Tokens that the caller has received.
     TokenCount used;
     /// The turn, if its answer is complete and it is to be persisted.
-    std::optional<ConversationTurn> turn;
+    std::optional<HeldTurn> turn;
     Milliseconds keepFor { 0 };
 };
 
+/// Asks the holder of a partition which of some turns the metadata store is known to have.
+struct StoredTurnsRequest {
+    std::vector<std::string> turns;
+};
+
+struct StoredTurnsReply {
+    std::vector<std::string> stored;
+};
+
 /// Asks an instance to release the tokens of a program that it has reserved and does not need.
 struct ReleaseTokensRequest {
     ProgramId program;
@@ -527,7 +536,7 @@
     TurnCopy, ReleaseTokensRequest, BeginTurnRequest, BeginTurnReply, EndTurnNotice, StoreCallRequest, StoreCallReply,
     LeaseRequest, LeaseReply, QuotaLoanRequest, QuotaLoanReply, MembersRequest, MembersReply, ReservationCopy,
     ReservationCopyReply, HandoverNotice, StateRequest, StateReply, ReservationsNotice, PartitionRequest,
-    PartitionReply, ReleaseTokensReply, TurnPageRequest, TurnPageReply>;
+    PartitionReply, ReleaseTokensReply, TurnPageRequest, TurnPageReply, StoredTurnsRequest, StoredTurnsReply>;
 
 /// A request, or a message of its answer.
 struct Frame {
--- a/include/peridotramp/store.h
+++ b/include/peridotramp/store.h
@@ -3,6 +3,8 @@
 #include "peridotramp/async.h"
 #include "peridotramp/runtime.h"
 
+#include <set>
+
 namespace peridotramp {
 
 /// Topics of the metadata store that the system reads or writes. All are compacted by key: the newest record
@@ -141,6 +143,8 @@
         Milliseconds maxRetryDelay { 800 };
         /// Upper bound on the size of the records not stored yet; a record that would exceed it is rejected.
         std::size_t maxWaitingBytes = std::size_t { 24 } * 1024 * 1024;
+        /// Called for each record once it is stored. Optional.
+        std::function<void(const StoreRecord&)> onStored {};
     };
     /// Called once with whether the record is stored; false when it was rejected.
     using StoredHook = std::function<void(bool stored)>;
@@ -157,6 +161,8 @@
     bool write(std::vector<StoreRecord> records);
     /// Returns the number of records not stored yet.
     std::size_t waiting() const;
+    /// Returns the keys of the records not stored yet.
+    std::set<std::string> waitingKeys() const;
     /// Returns the records not stored yet, the oldest first.
     std::vector<StoreRecord> waitingRecords() const;
     /// Returns the records not stored yet that have a value and a key greater than `after`, in the order of their keys;
--- a/src/decisions/conversations/conversations.cpp
+++ b/src/decisions/conversations/conversations.cpp
@@ -25,7 +25,7 @@
     this->totalBytes += sizeOf(turn);
     auto id = turn.id;
     this->turns.emplace(
-        std::move(id), Entry { std::make_shared<const ConversationTurn>(std::move(turn)), keepUntil, storedIn });
+        std::move(id), Entry { std::make_shared<const ConversationTurn>(std::move(turn)), keepUntil, storedIn, false });
 }
 
 SharedTurn ConversationTable::find(std::string_view id, TimePoint keepUntil)
@@ -54,6 +54,35 @@
     return history;
 }
 
+void ConversationTable::markStored(std::string_view id)
+{
+    if (const auto found = this->turns.find(id); found != this->turns.end())
+        found->second.isStored = true;
+    if (const auto found = this->unstoredSince.find(id); found != this->unstoredSince.end())
+        this->unstoredSince.erase(found);
+}
+
+void ConversationTable::markUnstored(std::string_view id, TimePoint now)
+{
+    const auto found = this->turns.find(id);
+    if (found != this->turns.end() && !found->second.isStored)
+        this->unstoredSince.try_emplace(std::string(id), now);
+}
+
+bool ConversationTable::isStored(std::string_view id) const
+{
+    const auto found = this->turns.find(id);
+    return found != this->turns.end() && found->second.isStored;
+}
+
+std::vector<UnstoredTurn> ConversationTable::unstored() const
+{
+    std::vector<UnstoredTurn> list;
+    std::ranges::transform(this->unstoredSince, std::back_inserter(list),
+        [&](const auto& entry) { return UnstoredTurn { this->turns.at(entry.first).turn, entry.second }; });
+    return list;
+}
+
 std::vector<ExpiredTurn> ConversationTable::expire(TimePoint now)
 {
     std::vector<ExpiredTurn> dropped;
@@ -61,6 +90,7 @@
         if (entry.second.keepUntil > now)
             return false;
         this->totalBytes -= sizeOf(*entry.second.turn);
+        this->unstoredSince.erase(entry.first);
         if (entry.second.storedIn)
             dropped.push_back({ entry.first, *entry.second.storedIn });
         return true;
--- a/src/ingress/beginturn.cpp
+++ b/src/ingress/beginturn.cpp
@@ -61,7 +61,7 @@
         auto answer = co_await callHolder(*this, executor, holder->address, request);
         if (answer) {
             for (auto& turn : answer.value().history)
-                this->addTurn(std::move(turn), std::nullopt, cachedTurnLifetime);
+                this->addHeldTurn(std::move(turn), std::nullopt, cachedTurnLifetime);
         }
         if (answer || !isUnanswered(answer.error().kind))
             co_return answer;
@@ -114,7 +114,7 @@
     }
     // The turn is available here until the holder has it.
     if (notice.turn)
-        this->addTurn(*notice.turn, std::nullopt, cachedTurnLifetime);
+        this->addHeldTurn(*notice.turn, std::nullopt, cachedTurnLifetime);
     this->reportEndTurn(*holder, std::move(notice));
 }
 
@@ -151,7 +151,7 @@
     if (notice.hold.isValid())
         this->settleTokens(notice.program, notice.hold, notice.used);
     if (notice.turn)
-        this->addTurn(std::move(*notice.turn), this->partitionOf(notice.program), notice.keepFor);
+        this->addHeldTurn(std::move(*notice.turn), this->partitionOf(notice.program), notice.keepFor);
 }
 
 } // namespace peridotramp
--- a/src/ingress/dispatch.cpp
+++ b/src/ingress/dispatch.cpp
@@ -405,16 +405,16 @@
         ConversationTurn turn { this->request.id, this->request.previousTurn, this->workspace,
             std::move(this->request.body), std::move(this->output), this->program };
         const auto persistDeadline = std::min(this->deadline, RuntimeClock::now() + persistTimeout);
-        const bool persisted = co_await this->ingress->persistTurn(
+        const auto persisted = co_await this->ingress->persistTurn(
             this->executor, this->program, turn, this->route.retention, persistDeadline);
         // The request may have been ended in the meantime by the shutdown of the process.
         if (this->ended)
             co_return;
-        if (!persisted) {
+        if (persisted == PersistResult::Dropped) {
             this->abort("turn could not be persisted");
             co_return;
         }
-        this->endTurn(std::move(turn));
+        this->endTurn(HeldTurn { std::move(turn), persisted == PersistResult::Stored });
     }
     this->ended = true;
     this->outcome.result = "answered";
--- a/src/ingress/history.cpp
+++ b/src/ingress/history.cpp
@@ -84,13 +84,13 @@
         if (answer->reply->turns.empty())
             continue;
         for (auto& held : answer->reply->turns)
-            this->addTurn(std::move(held), std::nullopt, cachedTurnLifetime);
+            this->addHeldTurn(std::move(held), std::nullopt, cachedTurnLifetime);
         co_return;
     }
     std::ranges::move(members, std::back_inserter(reasons.silent));
 }
 
-void Ingress::Impl::applyTurns(StorePartition partition, const std::vector<StoreRecord>& records)
+void Ingress::Impl::applyTurns(StorePartition partition, const std::vector<StoreRecord>& records, bool isStored)
 {
     const auto keepFor = this->longestRetention();
     // Turns that were deleted from the store, or are in memory again.
@@ -104,7 +104,7 @@
             continue;
         auto turn = decodeTurn(record.value);
         if (turn)
-            this->addTurn(std::move(turn.value()), partition, keepFor);
+            this->addHeldTurn({ std::move(turn.value()), isStored }, partition, keepFor);
         else
             log(LogLevel::Warning, "malformed stored turn ignored", { { "key", record.key } });
     }
@@ -162,7 +162,7 @@
         HistoryReply reply { {}, false, this->storeAvailability() };
         const auto local = collectHistory(request.turn, [this](std::string_view id) { return this->findTurn(id); });
         std::ranges::transform(local.turns, std::back_inserter(reply.turns),
-            [](const SharedTurn& turn) { return ConversationTurn(*turn); });
+            [this](const SharedTurn& turn) { return this->heldTurn(turn); });
         return reply;
     };
     auto reply = collect();
--- a/src/ingress/holders.cpp
+++ b/src/ingress/holders.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// Timeout of a message with reservations or turns for another holder.
+// Timeout of a message with reservations for another holder.
 constexpr Milliseconds noticeTimeout { 900 };
 // Delay before an instance loads a partition that it has begun to hold, so that the membership can settle.
 constexpr Milliseconds membershipSettleTime { 400 };
@@ -20,32 +20,6 @@
 // Time after which all instances know a new holder, so that they send their reservations to it.
 constexpr Seconds holderKnownTime { 3 };
 
-// Sends the turns of a partition that are not stored yet to its new holder, as this instance may exit before the store
-// is available again.
-void handOverTurns(Ingress::Impl& impl, StorePartition partition, const FleetMember& holder)
-{
-    // The receiver derives the partition from the program; this program id maps to `partition`.
-    const ProgramId program { static_cast<std::uint64_t>(partition.value) };
-    const auto keepFor = impl.longestRetention();
-    std::uint64_t sent = 0;
-    for (const auto& record : impl.turnWriter(partition).waitingRecords()) {
-        auto turn = record.value.empty() ? Result<ConversationTurn>(Error { ErrorKind::UnknownTurn })
-                                         : decodeTurn(record.value);
-        if (!turn)
-            continue;
-        ++sent;
-        impl.fleet.call(holder.address, TurnCopy { program, std::move(turn.value()), keepFor }, noticeTimeout,
-            [id = record.key, name = holder.name](const Result<Message>& answer, bool) {
-                if (!answer)
-                    log(LogLevel::Warning, "turn not handed over",
-                        { { "request", id }, { "keeper", name }, { "reason", answer.error().message() } });
-            });
-    }
-    if (sent > 0)
-        log(LogLevel::Info, "turns handed over",
-            { { "partition", partition.value }, { "keeper", holder.name }, { "turns", sent } });
-}
-
 } // namespace
 
 StorePartition Ingress::Impl::partitionOf(ProgramId program) const
@@ -119,7 +93,6 @@
     const auto now = RuntimeClock::now();
     std::vector<StorePartition> added;
     std::vector<std::pair<StorePartition, FleetMember>> completeMoved;
-    std::vector<std::pair<StorePartition, FleetMember>> moved;
     {
         const std::scoped_lock lock(this->heldPartitionsMutex);
         if (names == this->holderCandidateNames)
@@ -130,8 +103,6 @@
             const bool isHolder = !order.empty() && order.front().name == this->init.name;
             const auto held = this->heldPartitions.find(partition);
             if (!isHolder && held != this->heldPartitions.end()) {
-                if (!order.empty())
-                    moved.emplace_back(partition, order.front());
                 if (held->second.complete && !order.empty())
                     completeMoved.emplace_back(partition, order.front());
                 this->heldPartitions.erase(held);
@@ -145,12 +116,6 @@
     // The new holder may have just started and not be able to read them from the store.
     for (const auto& [partition, holder] : completeMoved)
         this->handOverReservations(partition, holder);
-    // Only when draining: otherwise this instance stores its turns itself, and the membership changes often while
-    // instances are overloaded.
-    if (this->draining) {
-        for (const auto& [partition, holder] : moved)
-            handOverTurns(*this, partition, holder);
-    }
     for (const auto partition : added) {
         const auto executor = this->newStrand();
         asio::co_spawn(
@@ -274,7 +239,7 @@
             if (!takeover.taken.contains(turn.key))
                 records.push_back({ turn.key, turn.value, {} });
         }
-        this->applyTurns(partition, records);
+        this->applyTurns(partition, records, false);
         std::vector<std::string> keys;
         std::ranges::transform(records, std::back_inserter(keys), &StoreRecord::key);
         // A full write queue takes the page again later.
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -149,6 +149,7 @@
     this->fleet.setState({ this->storeHealth.isReachable(), true });
     // This instance can no longer be a holder and hands its partitions over.
     this->updateHeldPartitions();
+    this->handOverTurns();
     this->runtime.after(makeDrainSchedule(this->gracePeriod, this->init.loadBalancerDelay).closeIdleAfter,
         [impl = this->shared_from_this(), done = std::move(done)] { impl->finishDrain(done); });
 }
@@ -259,7 +260,11 @@
         turnBytes += shard.bytes().value;
         turnCount += shard.size();
     });
+    std::size_t unstoredCount = 0;
+    for (const auto& [partition, unstored] : this->unstoredTurns())
+        unstoredCount += unstored.size();
     state["turns"] = turnCount;
+    state["unstored_turns"] = unstoredCount;
     state["turn_bytes"] = turnBytes;
     {
         const std::scoped_lock lock(this->heldPartitionsMutex);
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -184,6 +184,16 @@
     Count
 };
 
+/// Where a turn has been persisted.
+enum class PersistResult : std::uint8_t {
+    /// Neither the store nor two other failure domains have it; the answer to the caller must not be completed.
+    Dropped,
+    /// Instances of two other failure domains have it, and write it to the store later.
+    Copied,
+    Stored,
+    Count
+};
+
 /// Why a search that has not found a turn cannot conclude that the turn is unknown. The two flags are reasons while
 /// they are false, the lists while they are not empty.
 struct InconclusiveReasons {
@@ -236,7 +246,9 @@
 /// One writer for each partition of a topic, created on first use. Thread-safe.
 class PartitionWriters {
 public:
-    StoreWriter& get(Runtime& runtime, const MetadataStore& store, StoreTopic topic, StorePartition partition);
+    /// `onStored` is called for each record once it is stored; only the one of the first call for a partition counts.
+    StoreWriter& get(Runtime& runtime, const MetadataStore& store, StoreTopic topic, StorePartition partition,
+        const std::function<void(const StoreRecord&)>& onStored = nullptr);
     /// Returns the number of records that are not stored yet.
     std::size_t waiting();
 
@@ -452,9 +464,13 @@
     /// Adds a turn to the memory of this instance. `stored` is the partition of the store that contains the turn, if it
     /// is known to be there.
     void addTurn(ConversationTurn turn, std::optional<StorePartition> stored, Milliseconds keepFor);
+    /// Adds a turn that another instance has sent, with what that one knows of its storage. A turn that may be missing
+    /// in the store is kept for the longest retention, as this instance may have to store it.
+    void addHeldTurn(HeldTurn held, std::optional<StorePartition> stored, Milliseconds keepFor);
+    /// Returns a turn of this instance's memory as it is sent to another instance.
+    HeldTurn heldTurn(const SharedTurn& turn);
     /// Persists a turn: in the store, or while the store is unavailable at instances of two other failure domains.
-    /// Returns false when neither was possible in time; the answer to the caller must then not be completed.
-    asio::awaitable<bool> persistTurn(asio::any_io_executor executor, ProgramId program, ConversationTurn turn,
+    asio::awaitable<PersistResult> persistTurn(asio::any_io_executor executor, ProgramId program, ConversationTurn turn,
         Milliseconds keepFor, TimePoint deadline);
     /// Copies a turn to instances of two other failure domains; returns whether both have confirmed it.
     asio::awaitable<bool> copyTurn(
@@ -463,6 +479,23 @@
     /// show that the conversation goes on.
     void keepTurnsOfOtherPrograms(const ConversationTurn& turn);
     void expireTurns();
+
+    // unstoredturns.cpp
+    void startStoringTurns();
+    /// Returns the turns in memory that the store is not known to have, by partition.
+    std::map<StorePartition, std::vector<UnstoredTurn>> unstoredTurns();
+    /// Sets the metrics of the unstored turns and stores those that nobody else stores, once the store has settled.
+    void checkUnstoredTurns();
+    /// Stores the turns of a partition that none of its holders knows to be stored.
+    asio::awaitable<void> storeUnstoredTurns(
+        asio::any_io_executor executor, StorePartition partition, std::vector<UnstoredTurn> unstored);
+    /// Queues the turns of a partition for the store, except those that are queued already.
+    std::size_t writeUnstoredTurns(StorePartition partition, const std::vector<UnstoredTurn>& unstored);
+    /// Sends all turns that the store is not known to have to other instances and queues them for the store, as this
+    /// instance is about to stop.
+    void handOverTurns();
+    StoredTurnsReply storedTurns(const StoredTurnsRequest& request);
+
     /// Returns the longest retention of turns among the routes of the desired state.
     Milliseconds longestRetention();
 
@@ -500,7 +533,9 @@
     std::vector<FleetMember> holdersInAllDomains(StorePartition partition);
     /// Returns the partitions of which this instance is the holder in its failure domain.
     std::vector<StorePartition> ownPartitions();
-    void applyTurns(StorePartition partition, const std::vector<StoreRecord>& records);
+    /// Adds turns that were read from a partition of the store, or, without `isStored`, that another instance has not
+    /// stored there yet.
+    void applyTurns(StorePartition partition, const std::vector<StoreRecord>& records, bool isStored = true);
     /// Reads the turns of a partition that this instance has not read yet, up to the current end of the partition; all
     /// of them if `wanted` was read before and dropped from memory.
     asio::awaitable<bool> readTurns(asio::any_io_executor executor, StorePartition partition, std::string wanted);
@@ -626,6 +661,8 @@
     /// By partition.
     Sharded<std::map<StorePartition, TurnCursor>> turnCursors {};
     SingleFlight<StorePartition> turnReads {};
+    /// Whether turns that nobody else stores are being written to the store.
+    std::atomic<bool> isStoringTurns = false;
     /// Whether expired turns are being deleted; the coroutine that does so owns `cleanedPartitions` meanwhile.
     std::atomic<bool> isCleaning = false;
     std::map<StorePartition, CleanedPartition> cleanedPartitions {};
--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -221,7 +221,7 @@
     }
     if (!request.previousTurn.empty()) {
         for (const auto& turn : impl.localHistory(request.previousTurn))
-            begun.value().history.push_back(*turn);
+            begun.value().history.push_back(impl.heldTurn(turn));
     }
     // The sender continues without this instance if it has stopped waiting for the answer, so the tokens are released.
     if (!reply.send(std::move(begun.value())) && request.budget)
@@ -276,7 +276,7 @@
             reply.send(ErrorMessage { { ErrorKind::Overloaded, Outcome::NotRun, "write queue is full" } });
             return;
         }
-        this->addTurn(std::move(copy->turn), partition, copy->keepFor);
+        this->addHeldTurn({ std::move(copy->turn), false }, partition, copy->keepFor);
         reply.send(DoneMessage {});
     } else if (const auto* request = std::get_if<ReleaseTokensRequest>(&message)) {
         replyAsync(impl, reply,
@@ -297,6 +297,8 @@
             reply.send(ErrorMessage { { ErrorKind::NotReady, Outcome::NotRun, "not the holder of the partition" } });
     } else if (const auto* wanted = std::get_if<PartitionRequest>(&message)) {
         reply.send(this->describePartition(*wanted));
+    } else if (const auto* stored = std::get_if<StoredTurnsRequest>(&message)) {
+        reply.send(this->storedTurns(*stored));
     } else if (const auto* page = std::get_if<TurnPageRequest>(&message)) {
         reply.send(this->turnPage(*page));
     } else if (const auto* state = std::get_if<StateRequest>(&message)) {
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -192,7 +192,7 @@
     co_return true;
 }
 
-void RequestHandler::endTurn(std::optional<ConversationTurn> turn)
+void RequestHandler::endTurn(std::optional<HeldTurn> turn)
 {
     if (!this->hold.isValid() && !turn)
         return;
--- a/src/ingress/request_p.h
+++ b/src/ingress/request_p.h
@@ -87,7 +87,7 @@
     // Ends the request at the shutdown of the process, with an answer that tells whether it may have run.
     void stop();
     // Reports the end of the turn to the holder of the program, with its tokens at most once.
-    void endTurn(std::optional<ConversationTurn> turn = std::nullopt);
+    void endTurn(std::optional<HeldTurn> turn = std::nullopt);
     void logOutcome();
     // Releases what the request holds, and logs it.
     void finish();
--- a/src/ingress/turns.cpp
+++ b/src/ingress/turns.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-StoreWriter& PartitionWriters::get(
-    Runtime& runtime, const MetadataStore& store, StoreTopic topic, StorePartition partition)
+StoreWriter& PartitionWriters::get(Runtime& runtime, const MetadataStore& store, StoreTopic topic,
+    StorePartition partition, const std::function<void(const StoreRecord&)>& onStored)
 {
     return this->writers.with(static_cast<std::uint64_t>(partition.value), [&](Shard& shard) -> StoreWriter& {
         auto& writer = shard[partition];
@@ -36,7 +36,8 @@
             StoreWriter::Init init;
             init.topic = topic;
             init.partition = partition;
-            writer = std::make_unique<StoreWriter>(runtime, store, init);
+            init.onStored = onStored;
+            writer = std::make_unique<StoreWriter>(runtime, store, std::move(init));
         }
         return *writer;
     });
@@ -54,7 +55,12 @@
 
 StoreWriter& Ingress::Impl::turnWriter(StorePartition partition)
 {
-    return this->turnWriters.get(this->runtime, this->store, StoreTopic::Turns, partition);
+    return this->turnWriters.get(
+        this->runtime, this->store, StoreTopic::Turns, partition, [weak = this->weak_from_this()](const auto& record) {
+            if (const auto impl = weak.lock())
+                impl->turns.with(
+                    hashBytes(record.key), [&](ConversationTable& shard) { shard.markStored(record.key); });
+        });
 }
 
 SharedTurn Ingress::Impl::findTurn(std::string_view id, TimePoint keepUntil)
@@ -75,9 +81,29 @@
     }
 }
 
+void Ingress::Impl::addHeldTurn(HeldTurn held, std::optional<StorePartition> stored, Milliseconds keepFor)
+{
+    const auto id = held.turn.id;
+    this->addTurn(std::move(held.turn), stored, held.isStored ? keepFor : std::max(keepFor, this->longestRetention()));
+    this->turns.with(hashBytes(id), [&](ConversationTable& shard) {
+        if (held.isStored)
+            shard.markStored(id);
+        else
+            shard.markUnstored(id, RuntimeClock::now());
+    });
+}
+
+HeldTurn Ingress::Impl::heldTurn(const SharedTurn& turn)
+{
+    const bool isStored = this->turns.with(
+        hashBytes(turn->id), [&](const ConversationTable& shard) { return shard.isStored(turn->id); });
+    return { *turn, isStored };
+}
+
 void Ingress::Impl::startTurns()
 {
     this->runtime.every(expiryPeriod, [this] { this->expireTurns(); });
+    this->startStoringTurns();
     this->startTurnRetention();
 }
 
@@ -108,14 +134,14 @@
     co_return all;
 }
 
-asio::awaitable<bool> Ingress::Impl::persistTurn(
+asio::awaitable<PersistResult> Ingress::Impl::persistTurn(
     asio::any_io_executor executor, ProgramId program, ConversationTurn turn, Milliseconds keepFor, TimePoint deadline)
 {
     auto encoded = encodeTurn(turn);
     if (static_cast<std::int64_t>(encoded.size()) > this->init.maxStoreRecordBytes.value) {
         log(LogLevel::Error, "turn too large to store",
             { { "request", turn.id }, { "bytes", std::uint64_t { encoded.size() } } });
-        co_return false;
+        co_return PersistResult::Dropped;
     }
     this->keepTurnsOfOtherPrograms(turn);
     const auto begin = RuntimeClock::now();
@@ -140,7 +166,9 @@
                 { "waited_ms",
                     std::int64_t { std::chrono::duration_cast<Milliseconds>(RuntimeClock::now() - begin).count() } },
                 { "waiting", std::uint64_t { writer.waiting() } } });
-    co_return persisted;
+    if (!persisted)
+        co_return PersistResult::Dropped;
+    co_return copied ? PersistResult::Copied : PersistResult::Stored;
 }
 
 void Ingress::Impl::keepTurnsOfOtherPrograms(const ConversationTurn& turn)
--- a/src/nodes/messages_p.h
+++ b/src/nodes/messages_p.h
@@ -233,6 +233,12 @@
     archive(turn.id, turn.previous, turn.workspace, turn.input, turn.output, turn.program);
 }
 
+template <typename Archive> void serialize(Archive& archive, HeldTurn& held) { archive(held.turn, held.isStored); }
+
+template <typename Archive> void serialize(Archive& archive, StoredTurnsRequest& message) { archive(message.turns); }
+
+template <typename Archive> void serialize(Archive& archive, StoredTurnsReply& message) { archive(message.stored); }
+
 template <typename Archive> void serialize(Archive& archive, FleetMember& member)
 {
     archive(member.name, member.domain, member.address, member.capacity);
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -19,7 +19,7 @@
     Impl(Runtime& runtime, const MetadataStore& store, Init init)
         : runtime(runtime)
         , store(store)
-        , init(init)
+        , init(std::move(init))
         , retryDelay(0)
     {
     }
@@ -97,6 +97,8 @@
         }
     }
     for (const auto& entry : finished) {
+        if (this->init.onStored)
+            this->init.onStored(entry.record);
         if (entry.hook)
             entry.hook(true);
     }
@@ -116,7 +118,7 @@
 }
 
 StoreWriter::StoreWriter(Runtime& runtime, const MetadataStore& store, Init init)
-    : impl(std::make_shared<Impl>(runtime, store, init))
+    : impl(std::make_shared<Impl>(runtime, store, std::move(init)))
 {
 }
 
@@ -161,6 +163,16 @@
     return this->impl->waiting.size() + this->impl->batch.size();
 }
 
+std::set<std::string> StoreWriter::waitingKeys() const
+{
+    const std::scoped_lock lock(this->impl->mutex);
+    std::set<std::string> keys;
+    const auto keyOf = [](const WaitingRecord& entry) { return entry.record.key; };
+    std::ranges::transform(this->impl->batch, std::inserter(keys, keys.end()), keyOf);
+    std::ranges::transform(this->impl->waiting, std::inserter(keys, keys.end()), keyOf);
+    return keys;
+}
+
 std::vector<StoreRecord> StoreWriter::waitingRecordsAfter(const std::string& after, std::size_t maxBytes) const
 {
     const std::scoped_lock lock(this->impl->mutex);
--- a/tests/conversations/conversations.cpp
+++ b/tests/conversations/conversations.cpp
@@ -57,3 +57,30 @@
     REQUIRE(table.expire(start + Seconds(90)).size() == 1);
     REQUIRE(table.bytes().value == 0);
 }
+
+// Guards against turns that nobody stores, and against instances that store again what others have stored.
+TEST_CASE("a table lists the turns that the store is not known to have")
+{
+    ConversationTable table;
+    const auto add
+        = [&](const std::string& id) { table.add({ id, "", "w", "a", "b\n" }, start + Seconds(60), stored); };
+    add("t1");
+    add("t2");
+    REQUIRE(table.unstored().empty());
+    table.markUnstored("t1", start);
+    table.markUnstored("t1", start + Seconds(5));
+    table.markUnstored("gone", start);
+    REQUIRE(table.unstored().size() == 1);
+    REQUIRE(table.unstored().front().turn->id == "t1");
+    REQUIRE(table.unstored().front().since == start);
+    table.markStored("t1");
+    REQUIRE(table.isStored("t1"));
+    REQUIRE(table.unstored().empty());
+    // Another instance that knows less changes nothing.
+    table.markUnstored("t1", start);
+    REQUIRE(table.unstored().empty());
+    table.markUnstored("t2", start);
+    REQUIRE_FALSE(table.isStored("t2"));
+    table.expire(start + Seconds(60));
+    REQUIRE(table.unstored().empty());
+}
--- a/tests/ingress/history.cpp
+++ b/tests/ingress/history.cpp
@@ -186,3 +186,34 @@
     instances[0]->drain([] { });
     REQUIRE(eventually([&] { return holds(deployment, *instances[1], "c0"); }));
 }
+
+// Guards against the loss of a conversation that only instances know which are not the holders of its partition: they
+// stop without handing over what waits in their queues of writes.
+TEST_CASE("a draining instance hands over unstored turns of partitions that it does not hold")
+{
+    Deployment deployment;
+    deployment.publish(1);
+    const auto first = deployment.startReady("n1", true, "a");
+    const auto second = deployment.startReady("n2", true, "a");
+    for (const auto& instance : { first, second })
+        REQUIRE(eventually([&] { return heardPeers(*instance) == 1; }));
+    const auto heldPartitions = [](const Ingress& instance) {
+        return boost::json::parse(instance.dump()).as_object().at("kept_partitions").to_number<int>();
+    };
+    REQUIRE(eventually([&] { return heldPartitions(*first) + heldPartitions(*second) == 2; }));
+    auto stopping = first;
+    auto remaining = second;
+    // Not the holder of both partitions.
+    if (heldPartitions(*first) == 2)
+        std::swap(stopping, remaining);
+    deployment.fakeStore.setMode(FakeStore::Mode::Refusing);
+    for (const std::uint64_t program : { 4, 5 }) {
+        auto copy = turnCopyOf("c" + std::to_string(program), 100);
+        copy.program = { program };
+        copy.turn.program = copy.program;
+        REQUIRE(!errorOf(deployment, *stopping, copy));
+    }
+    stopping->drain([] { });
+    for (const auto* id : { "c4", "c5" })
+        REQUIRE(eventually([&] { return holds(deployment, *remaining, id); }));
+}
--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -331,3 +331,49 @@
     }
     REQUIRE(held == count);
 }
+
+// Guards against a conversation that lives only in the memory of instances although the store has been available for
+// long: the instances that had its turns in their queues of writes ended during the outage, and the others, which know
+// the turns because the conversation went on there, wrote nothing. It was lost with the last of them.
+TEST_CASE("an instance stores the turns that it knows when those that answered them can no longer do so")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    // The store client of instances that end before the store is available again.
+    auto withoutTurns = deployment.fakeStore.client();
+    withoutTurns.append = [append = withoutTurns.append](StoreTopic topic, StorePartition partition,
+                              const std::vector<StoreRecord>& records, MetadataStore::AppendHook hook) {
+        if (topic == StoreTopic::Turns)
+            hook(Error { ErrorKind::LogUnavailable, Outcome::NotRun });
+        else
+            append(topic, partition, records, std::move(hook));
+    };
+    const auto usual = deployment.storeClient;
+    deployment.storeClient = [&] { return withoutTurns; };
+    const std::vector<std::shared_ptr<Ingress>> ending { deployment.startReady("n1", true, "a"),
+        deployment.startReady("n2", true, "b"), deployment.startReady("n3", true, "c") };
+    for (const auto& instance : ending)
+        REQUIRE(eventually([&] { return isComplete(*instance); }));
+    deployment.storeClient = usual;
+    const auto remaining = deployment.startReady("n4", true, "b");
+    const auto knowsAll = [](const Ingress& instance) {
+        const auto state = boost::json::parse(instance.dump()).as_object();
+        return std::ranges::count_if(state.at("peers").as_array(), [](const auto& peer) {
+            return peer.as_object().at("heard").as_bool();
+        }) == 3;
+    };
+    REQUIRE(eventually([&] { return knowsAll(*remaining) && knowsAll(*ending.front()); }));
+    const auto turn = [](const std::string& id, const std::string& previous) {
+        auto request = Deployment::request("POST", "/t/x", id);
+        request.headers.push_back({ "Program-Id", "p1" });
+        request.headers.push_back({ "Token-Count", "100,30" });
+        if (!previous.empty())
+            request.headers.push_back({ "Previous-Turn", previous });
+        return request;
+    };
+    REQUIRE(deployment.send(*ending.front(), turn("t1", {})).second.status == 200);
+    REQUIRE(deployment.send(*remaining, turn("t2", "t1")).second.status == 200);
+    REQUIRE(eventually([&] { return deployment.fakeStore.contains(StoreTopic::Turns, "t1"); }));
+    REQUIRE(eventually([&] { return deployment.fakeStore.contains(StoreTopic::Turns, "t2"); }));
+}
