Take the ports of instances that start later from below the range of outgoing connections

Cause: freePort() of tests/ingress/outage.cpp gave a port back that the kernel had chosen for it, and a test bound it half a second later. The kernel takes such ports for outgoing connections, too, so that another connection could have it by then: "cannot bind 127.0.0.1:45373: Address already in use". The test of a spent budget after an outage fails then with 4 of its 30 assertions done.

Change: the port is chosen at random below that range and was free for TCP and UDP. No check is changed.

--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <random>
 
 using namespace peridotramp;
 
@@ -17,12 +18,27 @@
     return state.at("kept_partitions").to_number<int>() == 2 && state.at("complete_partitions").to_number<int>() == 2;
 }
 
+// Returns a port that an instance can bind later. It is below the range from which outgoing connections take theirs, as
+// such a connection could take the port in the meantime.
 std::uint16_t freePort()
 {
+    namespace ip = boost::asio::ip;
     boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor(
-        context, { boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(0) });
-    return acceptor.local_endpoint().port();
+    std::random_device random;
+    std::uniform_int_distribution<std::uint16_t> ports(12'000, 30'000);
+    while (true) {
+        const auto port = ports(random);
+        boost::system::error_code error;
+        ip::tcp::acceptor acceptor(context);
+        ip::udp::socket socket(context);
+        acceptor.open(ip::tcp::v4());
+        socket.open(ip::udp::v4());
+        acceptor.bind({ ip::address_v4::loopback(), port }, error);
+        if (!error)
+            socket.bind({ ip::address_v4::loopback(), port }, error);
+        if (!error)
+            return port;
+    }
 }
 
 // A deployment of three failure domains. The third has no instance yet, but the other two know its future address.
