Give each revision of a token reservation a key of its own

Cause: a reservation's key named its program and owner, and the store keeps the newest record of a key by its place in the log. An append that is repeated after a lost answer, or takes effect late, put an older revision after newer ones. Processes that run compare revisions; one that starts sees only the older record.

Ruled out: that the confirmations of the holders are lost with the processes, and that new processes read too early; the records in the store are the old ones before any process starts.

Change: the revision is a part of the key, so that no record replaces another and readers find the highest revision whatever the order. An append of a revision deletes the earlier ones in the same append; all are deleted when the account expires.

--- a/include/peridotramp/tokens.h
+++ b/include/peridotramp/tokens.h
@@ -22,8 +22,9 @@
     TimePoint deadline;
 };
 
-/// The part of a program's token budget that one incarnation of an instance has reserved. The newest entry of an owner
-/// replaces its earlier ones; the order of the log decides which reservations are valid.
+/// The part of a program's token budget that one incarnation of an instance has reserved. The entry of an owner with
+/// the highest revision replaces the others, whatever comes last in the log; between owners, the order of the log
+/// decides which reservations are valid.
 struct TokenReservation {
     ProgramId program;
     /// Instance and incarnation that own the reservation.
@@ -37,6 +38,18 @@
     bool operator==(const TokenReservation&) const = default;
 };
 
+/// Revisions of an owner's reservation, from `first` up to but without `end`.
+struct RevisionRange {
+    std::uint64_t first = 1;
+    std::uint64_t end = 1;
+};
+
+/// A program whose account was dropped, with the revisions of this owner that the log may still contain.
+struct ExpiredProgram {
+    ProgramId program;
+    RevisionRange revisions;
+};
+
 /// Result of an attempt to admit a turn of a program that has a token budget.
 enum class TokenAdmission : std::uint8_t {
     /// The reservation of this instance covers the turn.
@@ -113,8 +126,12 @@
     bool hasPendingReservation(ProgramId program) const;
     /// Returns the other owners that have not used all of their reservation of the program.
     std::vector<std::string> ownersWithUnused(ProgramId program) const;
+    /// Returns the revisions before `record` that have not been deleted from the log yet.
+    RevisionRange supersededBy(const TokenReservation& record) const;
+    /// Notes that the log has a record and the deletions of those that it supersedes.
+    void markSupersededDeleted(const TokenReservation& record);
     /// Drops programs unused since `before` and returns those for which this instance has an entry in the log.
-    std::vector<ProgramId> expire(TimePoint before);
+    std::vector<ExpiredProgram> expire(TimePoint before);
     /// Returns the usage of a program's budget; empty values for an unknown program.
     TokenAccount account(ProgramId program, TimePoint now) const;
     /// Returns whether turns of the program have run or are in progress, as far as this instance knows.
@@ -135,6 +152,8 @@
         TokenCount ownRequested;
         TokenCount ownUsed;
         std::uint64_t ownRevision = 0;
+        // The oldest revision that has not been deleted from the log.
+        std::uint64_t ownOldestRevision = 1;
         // Whether the log may contain a larger reservation of this instance.
         bool ownUncertain = false;
         std::map<HoldId, Hold> holds;
--- a/src/decisions/tokens/tokens.cpp
+++ b/src/decisions/tokens/tokens.cpp
@@ -196,9 +196,22 @@
     return account.ownUsed.value > 0 || account.held.value > 0 || !account.others.empty();
 }
 
-std::vector<ProgramId> TokenLedger::expire(TimePoint before)
+RevisionRange TokenLedger::supersededBy(const TokenReservation& record) const
 {
-    std::vector<ProgramId> own;
+    const auto found = this->programs.find(record.program);
+    const auto first = found == this->programs.end() ? record.revision : found->second.ownOldestRevision;
+    return { std::min(first, record.revision), record.revision };
+}
+
+void TokenLedger::markSupersededDeleted(const TokenReservation& record)
+{
+    if (const auto found = this->programs.find(record.program); found != this->programs.end())
+        found->second.ownOldestRevision = std::max(found->second.ownOldestRevision, record.revision);
+}
+
+std::vector<ExpiredProgram> TokenLedger::expire(TimePoint before)
+{
+    std::vector<ExpiredProgram> own;
     std::erase_if(this->programs, [&](const auto& entry) {
         const auto& [program, account] = entry;
         // A hold whose end was never reported must not keep the account forever.
@@ -207,7 +220,8 @@
         if (account.lastUse >= before || isInProgress)
             return false;
         if (account.ownRevision > 0)
-            own.push_back(program);
+            // All revisions: an append that took effect late may have restored a record that was deleted before.
+            own.push_back({ program, { 1, account.ownRevision + 1 } });
         return true;
     });
     return own;
--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -35,6 +35,13 @@
     return { ErrorKind::LogUnavailable, Outcome::NotRun, std::move(detail), retryAfterStoreLoss };
 }
 
+// Adds the deletions of revisions of a reservation.
+void appendDeletions(std::vector<StoreRecord>& records, TokenReservation reservation, const RevisionRange& revisions)
+{
+    for (reservation.revision = revisions.first; reservation.revision < revisions.end; ++reservation.revision)
+        records.push_back({ Ingress::Impl::reservationKey(reservation), {}, {} });
+}
+
 } // namespace
 
 std::string Ingress::Impl::describeBudget(ProgramId program)
@@ -62,9 +69,18 @@
     return text;
 }
 
-std::string Ingress::Impl::reservationKey(ProgramId program) const
+std::string Ingress::Impl::reservationKey(const TokenReservation& reservation)
+{
+    return fmt::format("{:x}/{}/{}", reservation.program.value, reservation.owner, reservation.revision);
+}
+
+std::vector<StoreRecord> Ingress::Impl::reservationRecords(const TokenReservation& reservation)
 {
-    return fmt::format("{:x}/{}", program.value, this->owner);
+    const auto superseded = this->tokens.with(
+        reservation.program.value, [&](const TokenShard& shard) { return shard.ledger->supersededBy(reservation); });
+    std::vector<StoreRecord> records { { reservationKey(reservation), encodeReservation(reservation), {} } };
+    appendDeletions(records, reservation, superseded);
+    return records;
 }
 
 void Ingress::Impl::startBudgets()
@@ -245,10 +261,9 @@
     asio::any_io_executor executor, TokenReservation reservation, TimePoint deadline)
 {
     const auto partition = this->partitionOf(reservation.program);
-    const StoreRecord record { this->reservationKey(reservation.program), encodeReservation(reservation), {} };
     Mailbox<Result<Offset>> appends(executor);
     const bool isUnavailable = !this->storeHealth.isReachable();
-    this->store.append(StoreTopic::TokenReservations, partition, { record },
+    this->store.append(StoreTopic::TokenReservations, partition, this->reservationRecords(reservation),
         [appends](Result<Offset> result) { appends.push(std::move(result)); });
     auto appended = co_await appends.next(
         std::min(deadline, RuntimeClock::now() + (isUnavailable ? Milliseconds(0) : storeConfirmTimeout)));
@@ -258,13 +273,16 @@
         missing = co_await this->confirmByHolders(executor, reservation, deadline);
         if (missing.empty()) {
             this->metrics.count("reservations_by_keepers");
-            this->tokenWriter(partition).write(record, nullptr);
+            this->tokenWriter(partition).write(
+                { reservationKey(reservation), encodeReservation(reservation), {} }, nullptr);
             co_return missing;
         }
         if (!appended)
             appended = co_await appends.next(deadline);
     }
     if (appended && *appended) {
+        this->tokens.with(
+            reservation.program.value, [&](TokenShard& shard) { shard.ledger->markSupersededDeleted(reservation); });
         const Mailbox<bool> copied(executor);
         const auto copies = this->copyReservation(reservation, [copied] { copied.push(true); });
         const auto copyDeadline = std::min(deadline, RuntimeClock::now() + holderConfirmTimeout);
@@ -380,8 +398,8 @@
         return shard.ledger->knownReservations(program);
     });
     // The sender may fail before the store is available again, so this instance stores the copy, too. It uses another
-    // key, because the copy may be written after a newer record of the sender.
-    auto key = fmt::format("{:x}/{}@{}", program.value, reservation.owner, this->owner);
+    // key, because it deletes the copy itself.
+    auto key = fmt::format("{}@{}", reservationKey(reservation), this->owner);
     this->tokenWriter(partition).write({ key, encodeReservation(reservation), {} }, nullptr);
     const std::scoped_lock lock(this->copiesMutex);
     this->copiedReservations.push_back({ RuntimeClock::now(), partition, std::move(key) });
@@ -400,7 +418,7 @@
         for (const auto program : shard.ledger->programsWhere([](ProgramId) { return true; })) {
             if (const auto lowered = shard.ledger->releaseUnused(program, RuntimeClock::now()))
                 records[this->partitionOf(program)].push_back(
-                    { this->reservationKey(program), encodeReservation(*lowered), {} });
+                    { reservationKey(*lowered), encodeReservation(*lowered), {} });
         }
     });
     for (auto& [partition, batch] : records)
@@ -445,14 +463,18 @@
     });
     if (!lowered)
         co_return !isReserving;
-    const std::vector<StoreRecord> records { { this->reservationKey(program), encodeReservation(*lowered), {} } };
+    const auto records = this->reservationRecords(*lowered);
     const std::function<void(MetadataStore::AppendHook)> start = [&](MetadataStore::AppendHook hook) {
         this->store.append(StoreTopic::TokenReservations, this->partitionOf(program), records, std::move(hook));
     };
     const auto appended = co_await awaitResult<Result<Offset>>(executor, RuntimeClock::now() + releaseTimeout, start);
     const bool stored = appended && *appended;
-    if (!stored)
-        this->tokens.with(program.value, [&](TokenShard& shard) { shard.ledger->markUncertain(program); });
+    this->tokens.with(program.value, [&](TokenShard& shard) {
+        if (stored)
+            shard.ledger->markSupersededDeleted(*lowered);
+        else
+            shard.ledger->markUncertain(program);
+    });
     log(LogLevel::Info, "tokens released",
         { { "program", program }, { "reserved", lowered->reserved.value }, { "stored", stored ? "yes" : "no" } });
     co_return true;
@@ -529,8 +551,9 @@
 {
     std::map<StorePartition, std::vector<StoreRecord>> dropped;
     this->tokens.forEach([&](TokenShard& shard) {
-        for (const auto program : shard.ledger->expire(RuntimeClock::now() - reservationLifetime))
-            dropped[this->partitionOf(program)].push_back({ this->reservationKey(program), {}, {} });
+        for (const auto& expired : shard.ledger->expire(RuntimeClock::now() - reservationLifetime))
+            appendDeletions(
+                dropped[this->partitionOf(expired.program)], { expired.program, this->owner }, expired.revisions);
     });
     {
         const std::scoped_lock lock(this->copiesMutex);
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -593,7 +593,12 @@
     void applyReservations(const std::vector<StoreRecord>& records);
     /// Describes a program's budget and its reservations, as far as this instance knows them, for a log line.
     std::string describeBudget(ProgramId program);
-    std::string reservationKey(ProgramId program) const;
+    /// Returns the key of a reservation in the store. Each revision has a key of its own, so that an append that is
+    /// repeated or takes effect late cannot replace a newer revision.
+    static std::string reservationKey(const TokenReservation& reservation);
+    /// Returns the record of a reservation of this instance, followed by the deletions of those that it supersedes.
+    /// Only for a single append, which is atomic.
+    std::vector<StoreRecord> reservationRecords(const TokenReservation& reservation);
     void expireBudgets();
 
     // leases.cpp
--- a/tests/ingress/budgets.cpp
+++ b/tests/ingress/budgets.cpp
@@ -67,6 +67,51 @@
     REQUIRE(pair.endpoint.requests().size() == before + 1);
 }
 
+// Guards against a budget that is handed out again after a restart of all processes: an append that was answered late,
+// or repeated after its answer was lost, takes effect after newer ones, and the older reservation becomes the newest
+// record.
+TEST_CASE("an older reservation that is appended again does not replace a newer one for instances that start")
+{
+    Deployment deployment;
+    auto& endpoint = deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    struct Append {
+        StorePartition partition;
+        std::vector<StoreRecord> records;
+    };
+    std::vector<Append> appends;
+    std::mutex mutex;
+    auto client = deployment.fakeStore.client();
+    client.append = [&, append = client.append](StoreTopic topic, StorePartition partition,
+                        const std::vector<StoreRecord>& records, MetadataStore::AppendHook hook) {
+        if (topic == StoreTopic::TokenReservations) {
+            const std::scoped_lock lock(mutex);
+            appends.push_back({ partition, records });
+        }
+        append(topic, partition, records, std::move(hook));
+    };
+    deployment.storeClient = [&] { return client; };
+    const auto first = deployment.startReady("n1");
+    for (const auto* id : { "t1", "t2", "t3" })
+        REQUIRE(deployment.send(*first, budgetedTurn(id, "p1", "90")).second.status == 200);
+    REQUIRE(deployment.fakeStore.keyCount(StoreTopic::TokenReservations) == 1);
+    std::vector<Append> earlier;
+    {
+        const std::scoped_lock lock(mutex);
+        REQUIRE(appends.size() >= 2);
+        earlier.assign(appends.begin(), appends.end() - 1);
+    }
+    for (const auto& append : earlier) {
+        std::promise<void> done;
+        deployment.fakeStore.client().append(StoreTopic::TokenReservations, append.partition, append.records,
+            [&](const Result<Offset>&) { done.set_value(); });
+        done.get_future().wait();
+    }
+    const auto restarted = deployment.startReady("n1", false);
+    REQUIRE(deployment.send(*restarted, budgetedTurn("t4", "p1", "90")).second.status == 402);
+    REQUIRE(endpoint.requests().size() == 3);
+}
+
 // Guards against tokens that stay held because the report of a turn's end arrives before its begin, or twice.
 TEST_CASE("the end of a turn can be reported to its holder before its begin, and more than once")
 {
--- a/tests/tokens/tokens.cpp
+++ b/tests/tokens/tokens.cpp
@@ -290,3 +290,31 @@
         REQUIRE(fleet.delivered <= 2000);
     }
 }
+
+// Guards against revisions that stay in the log for good, and against the deletion of the only record of a reservation.
+TEST_CASE("a ledger deletes the revisions that a record supersedes, and all of them at the end")
+{
+    TokenLedger ledger({ "a/1" });
+    ledger.admit(program, turn(1, { 1000 }, { 100 }), start);
+    const auto rangeOf = [&](const TokenReservation& record) {
+        const auto range = ledger.supersededBy(record);
+        return std::pair(range.first, range.end);
+    };
+    const auto first = ledger.prepareReservation(program, { 100 });
+    REQUIRE(rangeOf(first) == std::pair<std::uint64_t, std::uint64_t>(1, 1));
+    const auto second = ledger.prepareReservation(program, { 100 });
+    const auto third = ledger.prepareReservation(program, { 100 });
+    // The append of the second one failed, so that both earlier ones may be in the log.
+    REQUIRE(rangeOf(third) == std::pair<std::uint64_t, std::uint64_t>(1, 3));
+    ledger.markSupersededDeleted(third);
+    // An answer that comes late deletes nothing newer.
+    ledger.markSupersededDeleted(second);
+    REQUIRE(rangeOf(third) == std::pair<std::uint64_t, std::uint64_t>(3, 3));
+    REQUIRE(rangeOf(second) == std::pair<std::uint64_t, std::uint64_t>(2, 2));
+    const auto fourth = ledger.prepareReservation(program, { 100 });
+    REQUIRE(rangeOf(fourth) == std::pair<std::uint64_t, std::uint64_t>(3, 4));
+    const auto expired = ledger.expire(turnEnd + Seconds(1));
+    REQUIRE(expired.size() == 1);
+    REQUIRE(expired.front().revisions.first == 1);
+    REQUIRE(expired.front().revisions.end == 5);
+}
