Write the member record of an instance again when another one replaces it

Cause: the record of an instance has a fixed key. An append of its earlier process, or the deletion with which that one left, may take effect seconds late, after the record of the new process. The others then do not know the instance, or know an earlier address, until it writes its record again, which it did every 20 s. Meanwhile a turn that only this instance holds could be reported as unknown, since all known members answer.

Change: an instance that reads a record of its own name that is not its own writes its record again.

--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -379,6 +379,9 @@
     /// Removes instances that have been silent for a long time from the store's list of members.
     void pruneMembers();
     void applyMember(const StoreRecord& record);
+    /// Writes the member record of this instance again when `record`, the newest one in the store, is not its own: an
+    /// append of an earlier process, or a deletion, may take effect late.
+    void restoreMember(const StoreRecord& record);
     /// Updates what depends on the state of the other instances; called in each reporting period.
     void onStatusPeriod();
     void updateReachability();
--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -104,6 +104,15 @@
     });
 }
 
+void Ingress::Impl::restoreMember(const StoreRecord& record)
+{
+    if (this->draining || record.value == encodeMember(this->fleet.self()))
+        return;
+    log(LogLevel::Info, "member record of this instance written again",
+        { { "replaced_by", record.value.empty() ? "deletion" : "other record" } });
+    this->announceMember();
+}
+
 void Ingress::Impl::withdrawMember(std::function<void()> done)
 {
     const auto finish = [called = std::make_shared<std::atomic<bool>>(false), done = std::move(done)] {
@@ -136,8 +145,10 @@
 
 void Ingress::Impl::applyMember(const StoreRecord& record)
 {
-    if (record.key == this->init.name)
+    if (record.key == this->init.name) {
+        this->restoreMember(record);
         return;
+    }
     if (record.value.empty()) {
         this->fleet.remove(record.key);
         return;
--- a/tests/ingress/fakestore.h
+++ b/tests/ingress/fakestore.h
@@ -53,6 +53,18 @@
             [&](const auto& entry) { return entry.first.first == topic && entry.second.newest.contains(key); });
     }
 
+    /// Returns the newest value of a key; empty when there is none.
+    std::string newest(StoreTopic topic, const std::string& key)
+    {
+        const std::scoped_lock lock(this->mutex);
+        for (const auto& [place, log] : this->logs) {
+            const auto found = log.newest.find(key);
+            if (place.first == topic && found != log.newest.end())
+                return found->second.value;
+        }
+        return {};
+    }
+
     MetadataStore client()
     {
         MetadataStore store;
