Store the reservations that a holder takes over during an outage of the store

Cause: a holder that took a partition over while the store was away, from the holders of other domains or from one that stops, kept the reservations in memory only. The instances that had them in their queues of writes may end one after the other, and an instance that reads the partition after the outage grants the tokens again.

Change: what is new to the holder and may not be stored is queued as a copy, like one that it is asked to confirm.

--- a/include/peridotramp/tokens.h
+++ b/include/peridotramp/tokens.h
@@ -111,8 +111,8 @@
     std::vector<TokenReservation> knownReservations(ProgramId program) const;
     /// Returns all programs with a reservation for which `isWanted` holds.
     std::vector<ProgramId> programsWhere(const std::function<bool(ProgramId)>& isWanted) const;
-    /// Applies a record of another owner.
-    void apply(const TokenReservation& record, TimePoint now);
+    /// Applies a record of another owner. Returns whether it is newer than what this instance knew of that owner.
+    bool apply(const TokenReservation& record, TimePoint now);
     /// Ends a turn of which `used` tokens reached the caller, and releases its hold. Further reports of the same end
     /// change nothing. A hold that is settled before `admit` is refused there.
     void settle(ProgramId program, HoldId hold, TokenCount used, TimePoint now);
--- a/src/decisions/tokens/tokens.cpp
+++ b/src/decisions/tokens/tokens.cpp
@@ -99,18 +99,20 @@
 
 void TokenLedger::markUncertain(ProgramId program) { this->programs[program].ownUncertain = true; }
 
-void TokenLedger::apply(const TokenReservation& record, TimePoint now)
+bool TokenLedger::apply(const TokenReservation& record, TimePoint now)
 {
     if (record.owner == this->init.owner)
-        return;
+        return false;
     auto& account = this->programs[record.program];
     auto& known = account.others[record.owner];
     if (known.revision > record.revision)
-        return;
+        return false;
+    const bool isNewer = known.revision < record.revision;
     // The program is still used on another instance. Its account must not expire meanwhile, as the reservations of
     // other owners are read from the log only once.
     account.lastUse = now;
     known = record;
+    return isNewer;
 }
 
 void TokenLedger::settle(ProgramId program, HoldId hold, TokenCount used, TimePoint now)
--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -387,6 +387,28 @@
     co_return missing.empty() ? Status(std::monostate {}) : Status(storeUnavailable(missing));
 }
 
+void Ingress::Impl::storeReservationCopy(const TokenReservation& reservation)
+{
+    const auto partition = this->partitionOf(reservation.program);
+    // Another key than the owner's, because this instance deletes the copy itself.
+    auto key = fmt::format("{}@{}", reservationKey(reservation), this->owner);
+    this->tokenWriter(partition).write({ key, encodeReservation(reservation), {} }, nullptr);
+    const std::scoped_lock lock(this->copiesMutex);
+    this->copiedReservations.push_back({ RuntimeClock::now(), partition, std::move(key) });
+}
+
+void Ingress::Impl::takeOverReservations(const std::vector<TokenReservation>& reservations)
+{
+    const bool mayBeUnstored = !hasStoreSettled(this->storeHealth);
+    const auto now = RuntimeClock::now();
+    for (const auto& reservation : reservations) {
+        const bool isNew = this->tokens.with(
+            reservation.program.value, [&](TokenShard& shard) { return shard.ledger->apply(reservation, now); });
+        if (isNew && mayBeUnstored)
+            this->storeReservationCopy(reservation);
+    }
+}
+
 ReservationCopyReply Ingress::Impl::handleReservationCopy(const TokenReservation& reservation)
 {
     const auto program = reservation.program;
@@ -397,12 +419,8 @@
         shard.ledger->apply(reservation, RuntimeClock::now());
         return shard.ledger->knownReservations(program);
     });
-    // The sender may fail before the store is available again, so this instance stores the copy, too. It uses another
-    // key, because it deletes the copy itself.
-    auto key = fmt::format("{}@{}", reservationKey(reservation), this->owner);
-    this->tokenWriter(partition).write({ key, encodeReservation(reservation), {} }, nullptr);
-    const std::scoped_lock lock(this->copiesMutex);
-    this->copiedReservations.push_back({ RuntimeClock::now(), partition, std::move(key) });
+    // The sender may fail before the store is available again.
+    this->storeReservationCopy(reservation);
     return reply;
 }
 
--- a/src/ingress/holders.cpp
+++ b/src/ingress/holders.cpp
@@ -205,7 +205,7 @@
         const auto answer = next.value_or(std::nullopt);
         all = all && answer && answer->complete;
         if (answer)
-            this->applyReservations(answer->reservations);
+            this->takeOverReservations(answer->reservations);
     }
     co_return all;
 }
@@ -284,7 +284,7 @@
 
 void Ingress::Impl::applyHandover(const HandoverNotice& notice)
 {
-    this->applyReservations(notice.reservations);
+    this->takeOverReservations(notice.reservations);
     // The change of membership that makes this instance the holder may not have been processed yet.
     this->updateHeldPartitions();
     const std::scoped_lock lock(this->heldPartitionsMutex);
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -569,6 +569,12 @@
     std::size_t copyReservation(const TokenReservation& reservation, const std::function<void()>& onDone);
     /// Sends the reservations of a partition again to holders that have not confirmed them.
     void sendPendingReservationCopies();
+    /// Applies reservations that another holder knows, for a partition that this instance takes over. While the store
+    /// may lack them, this instance stores copies of those that are new to it: whoever has them in a queue of writes
+    /// may end before the store is available again.
+    void takeOverReservations(const std::vector<TokenReservation>& reservations);
+    /// Queues a copy of a reservation of another owner for the store.
+    void storeReservationCopy(const TokenReservation& reservation);
     /// Handles a copy of a reservation that another failure domain sends while the store does not answer there.
     ReservationCopyReply handleReservationCopy(const TokenReservation& reservation);
     StoreWriter& tokenWriter(StorePartition partition);
--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -69,6 +69,29 @@
     std::shared_ptr<Ingress> second;
 };
 
+// Returns a store client whose appends to a topic fail, like those of an instance that ends before the store is
+// available again.
+MetadataStore withoutAppends(Deployment& deployment, StoreTopic failing)
+{
+    auto client = deployment.fakeStore.client();
+    client.append = [failing, append = client.append](StoreTopic topic, StorePartition partition,
+                        const std::vector<StoreRecord>& records, MetadataStore::AppendHook hook) {
+        if (topic == failing)
+            hook(Error { ErrorKind::LogUnavailable, Outcome::NotRun });
+        else
+            append(topic, partition, records, std::move(hook));
+    };
+    return client;
+}
+
+// Returns the number of other instances that an instance has heard from.
+std::int64_t heardPeers(const Ingress& instance)
+{
+    const auto state = boost::json::parse(instance.dump()).as_object();
+    return std::ranges::count_if(
+        state.at("peers").as_array(), [](const auto& peer) { return peer.as_object().at("heard").as_bool(); });
+}
+
 } // namespace
 
 // Guards against a store outage in which no program can begin, and in which each failure domain grants the whole budget
@@ -356,30 +379,15 @@
     Deployment deployment;
     deployment.addEndpoint("i-1", "engines", threeEvents);
     deployment.publish(1);
-    // The store client of instances that end before the store is available again.
-    auto withoutTurns = deployment.fakeStore.client();
-    withoutTurns.append = [append = withoutTurns.append](StoreTopic topic, StorePartition partition,
-                              const std::vector<StoreRecord>& records, MetadataStore::AppendHook hook) {
-        if (topic == StoreTopic::Turns)
-            hook(Error { ErrorKind::LogUnavailable, Outcome::NotRun });
-        else
-            append(topic, partition, records, std::move(hook));
-    };
     const auto usual = deployment.storeClient;
-    deployment.storeClient = [&] { return withoutTurns; };
+    deployment.storeClient = [&] { return withoutAppends(deployment, StoreTopic::Turns); };
     const std::vector<std::shared_ptr<Ingress>> ending { deployment.startReady("n1", true, "a"),
         deployment.startReady("n2", true, "b"), deployment.startReady("n3", true, "c") };
     for (const auto& instance : ending)
         REQUIRE(eventually([&] { return isComplete(*instance); }));
     deployment.storeClient = usual;
     const auto remaining = deployment.startReady("n4", true, "b");
-    const auto knowsAll = [](const Ingress& instance) {
-        const auto state = boost::json::parse(instance.dump()).as_object();
-        return std::ranges::count_if(state.at("peers").as_array(), [](const auto& peer) {
-            return peer.as_object().at("heard").as_bool();
-        }) == 3;
-    };
-    REQUIRE(eventually([&] { return knowsAll(*remaining) && knowsAll(*ending.front()); }));
+    REQUIRE(eventually([&] { return heardPeers(*remaining) == 3 && heardPeers(*ending.front()) == 3; }));
     const auto turn = [](const std::string& id, const std::string& previous) {
         auto request = Deployment::request("POST", "/t/x", id);
         request.headers.push_back({ "Program-Id", "p1" });
@@ -393,3 +401,26 @@
     REQUIRE(eventually([&] { return deployment.fakeStore.contains(StoreTopic::Turns, "t1"); }));
     REQUIRE(eventually([&] { return deployment.fakeStore.contains(StoreTopic::Turns, "t2"); }));
 }
+
+// Guards against a budget that is granted twice after an outage: the instances that had a reservation in their queues
+// of writes ended one after the other, and those that took it over from them knew it and stored nothing.
+TEST_CASE("an instance that takes over reservations during a store outage stores them")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    const auto usual = deployment.storeClient;
+    deployment.storeClient = [&] { return withoutAppends(deployment, StoreTopic::TokenReservations); };
+    const std::vector<std::shared_ptr<Ingress>> ending { deployment.startReady("n1", true, "a"),
+        deployment.startReady("n2", true, "b"), deployment.startReady("n3", true, "c") };
+    for (const auto& instance : ending)
+        REQUIRE(eventually([&] { return isComplete(*instance) && heardPeers(*instance) == 2; }));
+    REQUIRE(deployment.send(*ending.front(), budgetedTurn("t1", "p1", "90")).second.status == 200);
+    REQUIRE(deployment.fakeStore.keyCount(StoreTopic::TokenReservations) == 0);
+    deployment.storeClient = usual;
+    const auto successor = deployment.startInstance("n4", false, "a");
+    deployment.failStoreCall();
+    REQUIRE(eventually([&] { return heardPeers(*successor) == 3 && heardPeers(*ending.front()) == 3; }));
+    ending.front()->drain([] { });
+    REQUIRE(eventually([&] { return deployment.fakeStore.keyCount(StoreTopic::TokenReservations) >= 1; }));
+}
