Do not complete an answer without a length when the upload of its request fails

Cause: a socket reports a reset once. The pending write gets the error, the next read returns the end of the stream, and that completes an answer without a length.

Change: the end of the connection completes an answer only if the request was written.

--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -263,6 +263,10 @@
         if (error && error != http::error::need_buffer)
             co_return error;
     }
+    // A write that fails consumes the error of a reset connection, and the next read then returns the end of the
+    // stream. So the end of the connection completes a response only if the request was written.
+    if (parser.need_eof() && !this->requestSent)
+        co_return boost::system::error_code(asio::error::connection_reset);
     co_return boost::system::error_code {};
 }
 
--- a/tests/runtime/answers.cpp
+++ b/tests/runtime/answers.cpp
@@ -1,3 +1,4 @@
+#include "../resettingserver.h"
 #include "../scriptedserver.h"
 #include "peridotramp/runtime.h"
 
@@ -22,7 +23,8 @@
     Caller() { this->runtime.start(); }
 
     // Accepts only a response with the request's id.
-    Answer fetch(const Address& address, const std::string& id, Milliseconds timeout = answerLimit)
+    Answer fetch(
+        const Address& address, const std::string& id, Milliseconds timeout = answerLimit, std::string body = {})
     {
         std::promise<Answer> promise;
         auto response = std::make_shared<HttpResponse>(HttpResponse { 0 });
@@ -32,7 +34,7 @@
         hooks.onHead = [response](const HttpResponse& head) { *response = head; };
         hooks.onBody = [response](std::string_view part) { response->body.append(part); };
         hooks.onEnd = [&](HttpResult result) { promise.set_value({ result, *response }); };
-        this->client.stream(address, { "GET", "/", { { "Id", id } }, {} }, { timeout }, std::move(hooks));
+        this->client.stream(address, { "GET", "/", { { "Id", id } }, std::move(body) }, { timeout }, std::move(hooks));
         return promise.get_future().get();
     }
 };
@@ -108,3 +110,28 @@
     REQUIRE(second.result.error == ErrorKind::None);
     REQUIRE(second.response.headers.front().value == "a");
 }
+
+// Guards against a part of an answer that is taken for the whole: the write of the request consumed the error of the
+// reset connection, and the read after it returned the end of the stream.
+TEST_CASE("a response without a length is incomplete when its connection is reset during the upload of the request")
+{
+    constexpr std::size_t uploadBytes = std::size_t { 64 } * 1024 * 1024;
+    for (int round = 0; round < 5; ++round) {
+        Caller caller;
+        const ResettingServer server([](const std::string&) { return "HTTP/1.1 200 OK\r\nId: a\r\n\r\na part"; });
+        const auto answer = caller.fetch(server.address(), "a", answerLimit, std::string(uploadBytes, 'x'));
+        REQUIRE(answer.response.body == "a part");
+        REQUIRE(answer.result.error != ErrorKind::None);
+    }
+}
+
+TEST_CASE("a response without a length that ends with its connection is complete")
+{
+    Caller caller;
+    const ScriptedServer server([](const ScriptedServer::Request&) {
+        return ScriptedServer::Answer { "HTTP/1.1 200 OK\r\nId: a\r\n\r\nthe whole", true };
+    });
+    const auto answer = caller.fetch(server.address(), "a");
+    REQUIRE(answer.result.error == ErrorKind::None);
+    REQUIRE(answer.response.body == "the whole");
+}
--- a/tests/scriptedserver.h
+++ b/tests/scriptedserver.h
@@ -28,7 +28,18 @@
             return this->head.substr(begin, this->head.find("\r\n", begin) - begin);
         }
     };
-    using Script = std::function<std::string(const Request&)>;
+    struct Answer {
+        Answer(std::string bytes, bool close = false)
+            : bytes(std::move(bytes))
+            , close(close)
+        {
+        }
+
+        std::string bytes;
+        /// Whether the connection is closed after the answer.
+        bool close = false;
+    };
+    using Script = std::function<Answer(const Request&)>;
 
     explicit ScriptedServer(Script script)
         : script(std::move(script))
@@ -79,8 +90,8 @@
                 this->seen.push_back(request);
             }
             const auto answer = this->script(request);
-            const auto [writeError, written] = co_await asio::async_write(socket, asio::buffer(answer), asTuple);
-            if (writeError)
+            const auto [writeError, written] = co_await asio::async_write(socket, asio::buffer(answer.bytes), asTuple);
+            if (writeError || answer.close)
                 co_return;
         }
     }
