Refuse answers whose status is not between 100 and 599

Cause: the parser accepts any three digits. This client skipped what is below 200 as an interim answer, so that the bytes after it counted as the answer, and passed on what is above 599.

Change: such a status is a malformed answer (RFC 9110, section 15), a failure of the endpoint.

Evidence: the new test of the HTTP client fails on (000 followed by another answer is accepted) and passes now.

--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -14,7 +14,9 @@
 // Margin before the idle timeout announced by a peer, so that no request is in flight when it closes the connection.
 constexpr Milliseconds idleTimeoutMargin { 500 };
 
-// Responses with a lower status are interim responses.
+// Range of valid statuses (RFC 9110, section 15), and the lowest of a response that is not an interim one.
+constexpr unsigned minStatus = 100;
+constexpr unsigned maxStatus = 599;
 constexpr unsigned firstFinalStatus = 200;
 
 // Responses to earlier requests that one call discards while it waits for its own, and the largest body of one.
@@ -190,7 +192,8 @@
             co_return error;
         const auto status = parser->get().result_int();
         // No request asks for a protocol upgrade.
-        if (status == static_cast<unsigned>(http::status::switching_protocols))
+        if (status < minStatus || status > maxStatus
+            || status == static_cast<unsigned>(http::status::switching_protocols))
             co_return make_error_code(http::error::bad_status);
         if (status >= firstFinalStatus)
             co_return checkResponseHead(parser->get());
--- a/tests/runtime/answers.cpp
+++ b/tests/runtime/answers.cpp
@@ -135,3 +135,18 @@
     REQUIRE(answer.result.error == ErrorKind::None);
     REQUIRE(answer.response.body == "the whole");
 }
+
+// Guards against an answer with a status that none has, which is passed on or skipped like an interim response.
+TEST_CASE("a response whose status is not between 100 and 599 is a failure of the endpoint")
+{
+    for (const std::string status : { "000", "001", "099", "600", "999" }) {
+        Caller caller;
+        const ScriptedServer server([&](const ScriptedServer::Request&) {
+            return "HTTP/1.1 " + status + " X\r\nId: a\r\nContent-Length: 0\r\n\r\n" + responseTo("a", "later");
+        });
+        INFO(status);
+        const auto answer = caller.fetch(server.address(), "a");
+        REQUIRE(answer.result.error == ErrorKind::EndpointFailed);
+        REQUIRE(answer.response.status == 0);
+    }
+}
