Refuse continuation lines in the heads of answers

Cause: the parser refuses blanks and control bytes within a name, but joins a line that begins with a blank to the value before it (obsolete line folding) and does not tell. ` Content-Length: 4` became a part of another field, and the body another one.

Change: the client looks at the bytes of a head before they are parsed and refuses continuation lines (RFC 9112, section 5.2), in interim answers, too. Nineteen malformed lines are tried at two places of a head.

--- a/src/runtime/framing.cpp
+++ b/src/runtime/framing.cpp
@@ -58,6 +58,13 @@
     return error ? error : checkHost(head, head.version());
 }
 
+bool hasContinuationLine(std::string_view bytes)
+{
+    // An empty line ends the head.
+    const auto head = bytes.starts_with("\r\n") ? std::string_view() : bytes.substr(0, bytes.find("\r\n\r\n"));
+    return head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos;
+}
+
 boost::system::error_code checkResponseHead(const http::response_header<>& head)
 {
     const auto error = checkTransferCoding(head, head.version());
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -85,6 +85,8 @@
     asio::awaitable<boost::system::error_code> exchange();
     asio::awaitable<void> writeRequest(std::shared_ptr<State> self, http::request<http::string_body> message);
     bool canReuse(const ResponseParser& parser, const beast::flat_buffer& buffer) const;
+    asio::awaitable<boost::system::error_code> readHeadBytes(
+        ResponseParser& parser, beast::flat_buffer& buffer, std::size_t& bytes);
     asio::awaitable<boost::system::error_code> readHead(
         std::optional<ResponseParser>& parser, beast::flat_buffer& buffer);
     asio::awaitable<boost::system::error_code> readOwnHead(
@@ -175,6 +177,39 @@
     co_return connectError;
 }
 
+// Reads one head, like `http::async_read_header`, and refuses continuation lines, which that accepts. `bytes` returns the
+// size of the head.
+asio::awaitable<boost::system::error_code> HttpClient::Call::State::readHeadBytes(
+    ResponseParser& parser, beast::flat_buffer& buffer, std::size_t& bytes)
+{
+    bytes = 0;
+    bool needsInput = buffer.size() == 0;
+    while (!parser.is_header_done()) {
+        if (needsInput) {
+            const auto space = beast::read_size(buffer, maxReadBytes);
+            if (space == 0)
+                co_return make_error_code(http::error::buffer_overflow);
+            const auto [readError, size] = co_await this->stream->async_read_some(buffer.prepare(space), asTuple);
+            if (readError == asio::error::eof)
+                co_return make_error_code(
+                    parser.got_some() ? http::error::partial_message : http::error::end_of_stream);
+            if (readError)
+                co_return readError;
+            buffer.commit(size);
+        }
+        if (hasContinuationLine({ static_cast<const char*>(buffer.data().data()), buffer.size() }))
+            co_return make_error_code(http::error::bad_field);
+        boost::system::error_code error;
+        const auto consumed = parser.put(buffer.data(), error);
+        buffer.consume(consumed);
+        bytes += consumed;
+        needsInput = error == http::error::need_more;
+        if (error && !needsInput)
+            co_return error;
+    }
+    co_return boost::system::error_code {};
+}
+
 // Reads the head of the response and skips interim responses before it.
 asio::awaitable<boost::system::error_code> HttpClient::Call::State::readHead(
     std::optional<ResponseParser>& parser, beast::flat_buffer& buffer)
@@ -187,7 +222,8 @@
         parser->header_limit(static_cast<std::uint32_t>(remainingBytes));
         if (this->request.method == "HEAD")
             parser->skip(true);
-        const auto [error, bytes] = co_await http::async_read_header(*this->stream, buffer, *parser, asTuple);
+        std::size_t bytes = 0;
+        const auto error = co_await this->readHeadBytes(*parser, buffer, bytes);
         if (error)
             co_return error;
         const auto status = parser->get().result_int();
--- a/tests/runtime/answers.cpp
+++ b/tests/runtime/answers.cpp
@@ -1,3 +1,4 @@
+#include "../../src/runtime/framing_p.h"
 #include "../resettingserver.h"
 #include "../scriptedserver.h"
 #include "peridotramp/runtime.h"
@@ -150,3 +151,45 @@
         REQUIRE(answer.response.status == 0);
     }
 }
+
+// Guards against a malformed line of a head that is passed on as a part of the field before it, and against a body that
+// is delimited by what other readers of the head would not see.
+TEST_CASE("a response with a malformed header line is a failure of the endpoint")
+{
+    using namespace std::string_literals;
+    const auto errorOf = [](const std::string& line, const std::string& before) {
+        Caller caller;
+        const ScriptedServer server([&](const ScriptedServer::Request&) {
+            return (before.ends_with("200 OK\r\n") ? "HTTP/1.1 103 X\r\n" : "HTTP/1.1 200 OK\r\n") + before + line
+                + "\r\nContent-Length: 2\r\n\r\nab";
+        });
+        const auto answer = caller.fetch(server.address(), "a");
+        REQUIRE((answer.result.error == ErrorKind::None) == (answer.response.status == 200));
+        return answer.result.error;
+    };
+    REQUIRE(errorOf("X-A: 1", "Id: a\r\n") == ErrorKind::None);
+    REQUIRE(errorOf("Id: a", "") == ErrorKind::None);
+    for (const auto& line : { " X-A: 1"s, "\tX-A: 1"s, "X A: 1"s, "X-A : 1"s, "X-A\t: 1"s, "X\x01: 1"s, "\x01X: 1"s,
+             "X\0A: 1"s, "X\x7f: 1"s, "X\rA: 1"s, "X\nA: 1"s, ": 1"s, "X-A"s, "X-A: \x01"s, "X-A: 1\r 2"s,
+             "X-A: 1\n 2"s, "X-A: \0"s, " Content-Length: 1"s, " Transfer-Encoding: chunked"s }) {
+        INFO(line);
+        CHECK(errorOf(line, "Id: a\r\n") == ErrorKind::EndpointFailed);
+        CHECK(errorOf(line, "") == ErrorKind::EndpointFailed);
+    }
+    // The head of an interim response is no exception, and a body may hold anything.
+    REQUIRE(errorOf("Id: a", "X: 1\r\n Y: 2\r\n\r\nHTTP/1.1 200 OK\r\n") == ErrorKind::EndpointFailed);
+    Caller caller;
+    const ScriptedServer server([](const ScriptedServer::Request&) { return responseTo("a", "one\n two\r\n\tthree"); });
+    REQUIRE(caller.fetch(server.address(), "a").result.error == ErrorKind::None);
+}
+
+// Guards against a body that is taken for a part of the head, because the two arrive together or the head in pieces.
+TEST_CASE("only the lines of the head are searched for continuation lines")
+{
+    REQUIRE(hasContinuationLine("X: 1\r\n Y: 2\r\n\r\n"));
+    REQUIRE(hasContinuationLine("X: 1\r\n\tY"));
+    REQUIRE_FALSE(hasContinuationLine("X: 1\r\nY: 2\r\n\r\nbody\n line"));
+    REQUIRE_FALSE(hasContinuationLine("\r\nbody\n line\r\n\r\n"));
+    REQUIRE_FALSE(hasContinuationLine("X: 1\r\nY: 2 3\r\n"));
+    REQUIRE_FALSE(hasContinuationLine(""));
+}
