Bound the use of an allowance in parts of the window

Cause: nothing bounded how much of a limit was used in a short time, so that only the whole limit was a safe estimate of what the processes before a restart had admitted last.

After a restart of all the most that can have been used in the part of the window before it counts.

Changed tests of tests/allowances: the reservation of a restarted instance, 50 of 50 until 4 s, is 50, 40, 30, 30 and 20 at 0.9, 1.1, 2, 2.99 and 3.99 s (the original tests had 20 at 2 s, from the assumption of even use; what is counted now is enforced, and a new test checks that). A domain without reports leases 80, 120, 160 and 200 in steps of 1.1 s in place of 200 at once, which checks its share at each step. One test has twice the rate, as its 35 requests at one moment exceed the new limit.

Ruled out by trials: a limit for 1 s alone.

--- a/include/peridotramp/allowances.h
+++ b/include/peridotramp/allowances.h
@@ -42,6 +42,9 @@
     bool draining = false;
 };
 
+/// Periods to which the short-term limits of an allowance apply, in increasing order.
+constexpr std::array<Milliseconds, 3> shortTermPeriods { Milliseconds(1000), Milliseconds(2000), Milliseconds(3000) };
+
 /// Requests of one workspace in one failure domain, as its coordinator reports them to the other domains.
 struct AllowanceUse {
     /// Admitted within the last window.
@@ -61,6 +64,8 @@
     bool hasUnmetRequests = false;
     /// Whether a program was refused recently because the quota did not cover all of its expected requests.
     bool hasUnmetPrograms = false;
+    /// Admitted within the last of each of the `shortTermPeriods`.
+    std::array<std::uint32_t, shortTermPeriods.size()> inShortTerm {};
 
     bool operator==(const AllowanceUse&) const = default;
 };
@@ -134,6 +139,12 @@
 
     /// Maximum number of requests in a window.
     double limit() const;
+    /// Maximum number of requests in a part of the window, like that of a token bucket. It bounds what may still be in
+    /// the window after processes have failed whose use nobody knows: without it, the whole limit may have been used in
+    /// their last moment.
+    double shortTermLimit(Duration period) const;
+    /// Returns the largest fraction of the limit that can have been used in a time.
+    double maxFractionWithin(Duration time) const;
     bool operator==(const AllowanceSettings&) const = default;
 };
 
@@ -236,6 +247,10 @@
     double usedBySilentDomain(DomainId domain, TimePoint now) const;
     // Requests in the window of all domains and the quota that counts as used.
     double usedInFleet(TimePoint now) const;
+    // Requests that the short-term limits leave.
+    double shortTermRequestsLeft(TimePoint now) const;
+    // Like `usedInFleet`, for the requests of one of the `shortTermPeriods`.
+    double usedInShortTerm(std::size_t period, TimePoint now) const;
     // Quota that all domains reserve for instances that may have used it without a report.
     double unreportedUse(TimePoint now) const;
     // Returns the claims to the quota, that of this domain first.
@@ -257,6 +272,7 @@
     double requestsLeft = 0;
     double programsLeft = 0;
     // Values of the whole fleet at the last division.
+    double fleetUsed = 0;
     double fleetRequestsLeft = 0;
     double fleetProgramsLeft = 0;
     double fleetUnreported = 0;
@@ -336,6 +352,9 @@
     std::uint32_t useBeforeRestart = 0;
     TimePoint useBeforeRestartAt {};
     SlidingWindowCounter admitted;
+    std::array<SlidingWindowCounter, shortTermPeriods.size()> admittedInShortTerm { SlidingWindowCounter(
+                                                                                        shortTermPeriods[0]),
+        SlidingWindowCounter(shortTermPeriods[1]), SlidingWindowCounter(shortTermPeriods[2]) };
     SlidingWindowCounter requested;
     SlidingWindowCounter programsStarted;
     SlidingWindowCounter programsStartedRecently;
--- a/src/decisions/allowances/division.cpp
+++ b/src/decisions/allowances/division.cpp
@@ -25,6 +25,11 @@
 // Time between two divisions. What leaves the window until the next one can be used by then.
 constexpr Milliseconds divisionPeriod { 100 };
 
+// A workspace may be ahead of an even use of its limit by what that takes in this time. At least a small number of
+// requests in all, so that what a program sends at once is admitted within a low limit.
+constexpr Milliseconds burstPeriod { 1000 };
+constexpr double minShortTermLimit = 12;
+
 // Returns a sort key of the domain that changes with the salt. Cheaper than a hash of bytes, as it is calculated for
 // each pair of domain and workspace.
 std::uint64_t tieBreakerOf(DomainId domain, std::uint64_t salt)
@@ -51,6 +56,21 @@
         + static_cast<double>(this->burst.value);
 }
 
+double AllowanceSettings::shortTermLimit(Duration period) const
+{
+    const auto evenUse = this->limit() * (std::chrono::duration<double>(period + burstPeriod) / this->window);
+    return std::min(this->limit(), std::max(evenUse, minShortTermLimit));
+}
+
+double AllowanceSettings::maxFractionWithin(Duration time) const
+{
+    if (time <= Duration(0))
+        return 0;
+    const auto period
+        = std::ranges::find_if(shortTermPeriods, [&](Milliseconds candidate) { return candidate >= time; });
+    return period == shortTermPeriods.end() ? 1 : this->shortTermLimit(*period) / std::max(1.0, this->limit());
+}
+
 void QuotaDivision::configure(const AllowanceSettings& newSettings)
 {
     if (newSettings == this->settings)
@@ -117,6 +137,8 @@
         if (!sum)
             sum.emplace();
         sum->inWindow += report.use.inWindow;
+        std::ranges::transform(
+            sum->inShortTerm, report.use.inShortTerm, sum->inShortTerm.begin(), std::plus<std::uint32_t>());
         sum->outstanding += report.use.outstanding;
         sum->unreported += report.use.unreported;
         sum->requested += report.use.requested;
@@ -169,6 +191,33 @@
     return used - leaving + std::max(0.0, held - this->settings.heldTolerance);
 }
 
+double QuotaDivision::usedInShortTerm(std::size_t period, TimePoint now) const
+{
+    double used = this->own.inShortTerm[period];
+    double held = heldQuotaOf(this->own);
+    for (const auto& [domain, share] : this->shares) {
+        const auto found = this->reports.find(domain);
+        const auto current = found == this->reports.end() ? std::nullopt : this->freshUse(found->second, now);
+        if (current) {
+            used += current->inShortTerm[period];
+            held += heldQuotaOf(*current);
+        } else {
+            used += share * this->settings.shortTermLimit(shortTermPeriods[period]);
+        }
+    }
+    return used + std::max(0.0, held - this->settings.heldTolerance);
+}
+
+double QuotaDivision::shortTermRequestsLeft(TimePoint now) const
+{
+    auto left = std::numeric_limits<double>::max();
+    for (std::size_t period = 0; period < shortTermPeriods.size(); ++period) {
+        const auto limit = this->settings.shortTermLimit(shortTermPeriods[period]);
+        left = std::min(left, limit - this->usedInShortTerm(period, now));
+    }
+    return left;
+}
+
 double QuotaDivision::unreportedUse(TimePoint now) const
 {
     return std::accumulate(this->reports.begin(), this->reports.end(), static_cast<double>(this->own.unreported),
@@ -246,7 +295,8 @@
     const auto used = this->usedInFleet(now);
     this->fleetUnreported = this->unreportedUse(now);
     this->nearLimit = used - this->fleetUnreported > this->settings.limit() * this->init.nearLimitFraction;
-    this->fleetRequestsLeft = this->settings.limit() - used;
+    this->fleetUsed = used;
+    this->fleetRequestsLeft = std::min(this->settings.limit() - used, this->shortTermRequestsLeft(now));
     this->fleetProgramsLeft = this->programsWithinQuota(used, now);
     this->requestsLeft = this->ownUnits(this->fleetRequestsLeft, &AllowanceUse::hasUnmetRequests, now);
     this->programsLeft = this->ownUnits(this->fleetProgramsLeft, &AllowanceUse::hasUnmetPrograms, now);
@@ -271,7 +321,7 @@
 AllowanceLease QuotaDivision::emptyLease() const
 {
     AllowanceLease lease;
-    lease.used = static_cast<std::uint32_t>(std::max(0.0, this->settings.limit() - this->fleetRequestsLeft));
+    lease.used = static_cast<std::uint32_t>(std::max(0.0, this->fleetUsed));
     lease.unreported = static_cast<std::uint32_t>(this->fleetUnreported);
     lease.limit = static_cast<std::uint32_t>(this->settings.limit());
     return lease;
--- a/src/decisions/allowances/domain.cpp
+++ b/src/decisions/allowances/domain.cpp
@@ -78,6 +78,8 @@
     };
     // If the last report is old, some of the new requests have already left the window.
     this->admitted.add(now, std::min(grown(&InstanceUse::admitted), use.inWindow));
+    for (auto& counter : this->admittedInShortTerm)
+        counter.add(now, std::min(grown(&InstanceUse::admitted), use.inWindow));
     this->requested.add(now, grown(&InstanceUse::requested));
     this->programsStarted.add(now, grown(&InstanceUse::programsStarted));
     this->programsStartedRecently.add(now, grown(&InstanceUse::programsStarted));
@@ -102,9 +104,9 @@
 double DomainAllowance::unreportedByRestarted(TimePoint now) const
 {
     const bool isUseBeforeRestartKnown = now - this->useBeforeRestartAt <= useBeforeRestartLifetime;
-    // The earlier processes may have used a whole limit in their last moment, so all of it counts until it has
-    // certainly left the window. Only where another domain ran for the whole window and reports what it knows of the
-    // use before the restart, what remains is assumed to be spread evenly over the window and to leave it gradually.
+    // The shorter the part of the window before the start becomes, the less of the limit can have been used in it.
+    // Where another domain ran for the whole window and reports what it knows of the use before the restart, what
+    // remains is assumed to be spread evenly over the window.
     const bool isKnown = isUseBeforeRestartKnown && this->quota.hasLongRunningPeer(now);
     const bool countsFully = !isKnown || this->quota.isIsolated(now) || !this->firstDivisionAt
         || now - *this->firstDivisionAt <= initialReportPeriod;
@@ -114,7 +116,7 @@
               const auto remaining = std::max(Duration(0), account.unreportedUntil - now);
               const auto fraction = std::chrono::duration<double>(remaining) / this->settings.window;
               const auto maxUse = std::max<double>(this->equalShare(), account.lastReportedInWindow);
-              return sum + maxUse * (countsFully && fraction > 0 ? 1 : fraction);
+              return sum + maxUse * (countsFully ? this->settings.maxFractionWithin(remaining) : fraction);
           });
     const auto missingUse = static_cast<double>(this->useBeforeRestart) - this->reportedAtStart;
     return std::max(unreported, isUseBeforeRestartKnown ? missingUse : 0.0);
@@ -149,6 +151,8 @@
 {
     AllowanceUse use;
     use.inWindow = this->admitted.sum(now);
+    std::ranges::transform(this->admittedInShortTerm, use.inShortTerm.begin(),
+        [now](SlidingWindowCounter& counter) { return counter.sum(now); });
     use.requested = this->requested.sum(now);
     use.programsStarted = this->programsStarted.sum(now);
     use.programsStartedRecently = this->programsStartedRecently.sum(now);
--- a/src/nodes/messages_p.h
+++ b/src/nodes/messages_p.h
@@ -397,6 +397,7 @@
 {
     archive(
         use.inWindow, use.outstanding, use.unreported, use.requested, use.programsStarted, use.programsStartedRecently);
+    archive(use.inShortTerm);
     archive(use.hasUnmetRequests, use.hasUnmetPrograms);
 }
 
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -177,8 +177,8 @@
     co_return connectError;
 }
 
-// Reads one head, like `http::async_read_header`, and refuses continuation lines, which that accepts. `bytes` returns the
-// size of the head.
+// Reads one head, like `http::async_read_header`, and refuses continuation lines, which that accepts. `bytes` returns
+// the size of the head.
 asio::awaitable<boost::system::error_code> HttpClient::Call::State::readHeadBytes(
     ResponseParser& parser, beast::flat_buffer& buffer, std::size_t& bytes)
 {
