Wait for the other holder in the tests of outages

Cause: the fixture waited until both instances had loaded their partitions, but not until they had heard from each other. A reservation that is made before that is sent to the holder within the next 500 ms, as for any holder that cannot be reached, and the turn is answered meanwhile because the store has confirmed it.

Change: the fixture waits until each of the two has heard from the other one. The checks of the tests are unchanged.

--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -41,7 +41,16 @@
     }
 }
 
-// A deployment of three failure domains. The third has no instance yet, but the other two know its future address.
+// Returns the number of other instances that an instance has heard from.
+std::int64_t heardPeers(const Ingress& instance)
+{
+    const auto state = boost::json::parse(instance.dump()).as_object();
+    return std::ranges::count_if(
+        state.at("peers").as_array(), [](const auto& peer) { return peer.as_object().at("heard").as_bool(); });
+}
+
+// A deployment of three failure domains. The third has no instance yet, but the other two know its future address, and
+// reach each other.
 struct LateDomain {
     LateDomain()
     {
@@ -51,7 +60,7 @@
         this->second = this->deployment.startReady("n2", true, "b");
         this->first = this->deployment.startReady("n1", true, "a");
         for (const auto& instance : { this->first, this->second })
-            REQUIRE(eventually([&] { return isComplete(*instance); }));
+            REQUIRE(eventually([&] { return isComplete(*instance) && heardPeers(*instance) == 1; }));
     }
 
     // Starts the instance of the third domain and waits until it has loaded its partitions.
@@ -84,14 +93,6 @@
     return client;
 }
 
-// Returns the number of other instances that an instance has heard from.
-std::int64_t heardPeers(const Ingress& instance)
-{
-    const auto state = boost::json::parse(instance.dump()).as_object();
-    return std::ranges::count_if(
-        state.at("peers").as_array(), [](const auto& peer) { return peer.as_object().at("heard").as_bool(); });
-}
-
 } // namespace
 
 // Guards against a store outage in which no program can begin, and in which each failure domain grants the whole budget
