Read long bodies in parts that grow

Callers of a busy instance got 504 for large answers.

Cause: Beast reads at most what the buffer holds beyond its content, or 512 bytes. The buffer was as small as the head needed it, so each read of a body took 512 bytes: 9,216 reads for an answer of 4.5 MB, and as many calls of the hook.

Change: a read that filled the buffer doubles it, up to the 16 KiB that a part of a body may have. Short answers and events of a stream keep the small buffer.

--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -23,6 +23,9 @@
 constexpr int maxDiscardedResponses = 2;
 constexpr std::size_t maxDiscardedBodyBytes = std::size_t { 256 } * 1024;
 
+// Largest part of a body that is read at once.
+constexpr std::size_t bodyBlockBytes = std::size_t { 16 } * 1024;
+
 using ResponseParser = http::response_parser<http::buffer_body>;
 
 // Returns whether reading a response was aborted because it exceeds a limit.
@@ -47,6 +50,14 @@
     return parsed.ec == std::errc() ? std::optional(Seconds(seconds)) : std::nullopt;
 }
 
+// Enlarges the buffer of a body after a read that filled it. A read takes no more than the buffer holds, and the head
+// leaves it at a few hundred bytes.
+void growAfterFullRead(beast::flat_buffer& buffer, std::size_t readBytes)
+{
+    if (readBytes >= buffer.capacity())
+        buffer.reserve(std::min(2 * buffer.capacity(), bodyBlockBytes));
+}
+
 } // namespace
 
 using IdleStreams = std::map<Address, std::vector<IdleStream>>;
@@ -284,13 +295,14 @@
     const auto announced = parser.content_length();
     if (!parser.is_done() && announced && *announced > limit)
         co_return make_error_code(http::error::body_limit);
-    std::array<char, std::size_t { 16 } * 1024> block {};
+    std::array<char, bodyBlockBytes> block {};
     while (!parser.is_done()) {
         if (const auto windowError = co_await this->awaitWindow())
             co_return windowError;
         parser.get().body().data = block.data();
         parser.get().body().size = block.size();
         auto [error, bytes] = co_await http::async_read_some(*this->stream, buffer, parser, asTuple);
+        growAfterFullRead(buffer, bytes);
         const auto size = block.size() - parser.get().body().size;
         if (size > limit)
             co_return make_error_code(http::error::body_limit);
@@ -312,12 +324,13 @@
 asio::awaitable<boost::system::error_code> HttpClient::Call::State::discardBody(
     ResponseParser& parser, beast::flat_buffer& buffer)
 {
-    std::array<char, std::size_t { 16 } * 1024> block {};
+    std::array<char, bodyBlockBytes> block {};
     std::size_t discardedBytes = 0;
     while (!parser.is_done()) {
         parser.get().body().data = block.data();
         parser.get().body().size = block.size();
         auto [error, bytes] = co_await http::async_read_some(*this->stream, buffer, parser, asTuple);
+        growAfterFullRead(buffer, bytes);
         discardedBytes += block.size() - parser.get().body().size;
         if (discardedBytes > maxDiscardedBodyBytes)
             co_return make_error_code(http::error::body_limit);
--- a/tests/runtime/answers.cpp
+++ b/tests/runtime/answers.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 #include <future>
+#include <thread>
 
 using namespace peridotramp;
 
@@ -193,3 +194,31 @@
     REQUIRE_FALSE(hasContinuationLine("X: 1\r\nY: 2 3\r\n"));
     REQUIRE_FALSE(hasContinuationLine(""));
 }
+
+// Guards against a long body that is read in parts of a few hundred bytes, which costs so much time that large answers
+// miss their time limit on a busy machine.
+TEST_CASE("the parts in which a long body is read grow with it")
+{
+    constexpr std::size_t bodyBytes = std::size_t { 256 } * 1024;
+    constexpr std::size_t smallestMeanPart = std::size_t { 4 } * 1024;
+    // Time for the server to write so much that no read has to wait for it.
+    constexpr Milliseconds writingTime { 200 };
+    const std::string body(bodyBytes, 'x');
+    ScriptedServer server(
+        [&](const ScriptedServer::Request& request) { return responseTo(request.header("Id"), body); });
+    Caller caller;
+    std::promise<HttpResult> ended;
+    std::size_t parts = 0;
+    std::size_t bytes = 0;
+    HttpClientHooks hooks;
+    hooks.onBody = [&](std::string_view part) {
+        if (parts++ == 0)
+            std::this_thread::sleep_for(writingTime);
+        bytes += part.size();
+    };
+    hooks.onEnd = [&](const HttpResult& result) { ended.set_value(result); };
+    caller.client.stream(server.address(), { "GET", "/", { { "Id", "q1" } }, {} }, { answerLimit }, std::move(hooks));
+    REQUIRE(ended.get_future().get().error == ErrorKind::None);
+    REQUIRE(bytes == bodyBytes);
+    REQUIRE(parts <= bodyBytes / smallestMeanPart);
+}
