--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -39,7 +39,7 @@
 void appendDeletions(std::vector<StoreRecord>& records, TokenReservation reservation, const RevisionRange& revisions)
 {
     for (reservation.revision = revisions.first; reservation.revision < revisions.end; ++reservation.revision)
-        records.push_back({ Ingress::Impl::reservationKey(reservation), {}, {} });
+        records.push_back({ reservationKey(reservation), {}, {} });
 }
 
 } // namespace
@@ -69,11 +69,6 @@
     return text;
 }
 
-std::string Ingress::Impl::reservationKey(const TokenReservation& reservation)
-{
-    return fmt::format("{:x}/{}/{}", reservation.program.value, reservation.owner, reservation.revision);
-}
-
 std::vector<StoreRecord> Ingress::Impl::reservationRecords(const TokenReservation& reservation)
 {
     const auto superseded = this->tokens.with(
@@ -228,22 +223,22 @@
     if (!this->isComplete(partition))
         co_return std::string("this instance does not know the whole partition");
     const auto holders = this->holdersInOtherDomains(partition);
-    if (const auto domain = this->domainWithoutHolder(holders))
-        co_return "no reachable instance in " + *domain;
+    const auto scope = this->scopeOf(holders);
+    if (auto missing = missingHolders(scope); !missing.empty())
+        co_return missing;
     const auto answers = callEach<ReservationCopyReply>(
         executor, this->fleet, holders, ReservationCopy { reservation }, holderConfirmTimeout);
-    std::string missing = holders.empty() ? "there is no other failure domain" : "";
+    HolderAnswers received;
     for (std::size_t index = 0; index < holders.size(); ++index) {
         const auto next = co_await answers.next(std::min(deadline, RuntimeClock::now() + holderConfirmTimeout));
         const auto answer = next.value_or(std::nullopt);
         if (!answer)
-            missing = "a holder in another failure domain does not answer";
-        else if (!answer->complete)
-            missing = "a holder in another failure domain does not know the whole partition";
-        if (answer)
-            this->applyReservations(answer->reservations);
+            continue;
+        ++received.answered;
+        received.complete += answer->complete ? 1 : 0;
+        this->applyReservations(answer->reservations);
     }
-    co_return missing;
+    co_return missingAnswers(scope, received);
 }
 
 asio::awaitable<bool> Ingress::Impl::readReservationsThrough(
@@ -365,16 +360,15 @@
     asio::any_io_executor executor, ProgramId program, TokenCount maxTokens, TimePoint deadline)
 {
     const auto partition = this->partitionOf(program);
-    // Reservations that other instances have confirmed while the store was unavailable may not be in the log yet. Only
-    // an instance that knows the whole partition can tell what is left of the budget.
-    if (!this->isComplete(partition) && !hasStoreSettled(this->storeHealth))
+    const auto step = nextReservationStep({ hasStoreSettled(this->storeHealth), this->isComplete(partition),
+        this->reservationCursor(partition).has_value() });
+    if (step == ReservationStep::Refuse)
         co_return Status(storeUnavailable("reservations made without the store may not be stored yet"));
-    // A reservation that cannot be read back is useless here, but would use up the budget at all other instances.
-    bool isKnown = this->reservationCursor(partition) || this->isComplete(partition);
-    if (!isKnown)
-        isKnown = co_await this->loadReservations(executor, partition);
-    if (!isKnown)
-        co_return Status(storeUnavailable("the partition cannot be read"));
+    if (step == ReservationStep::ReadPartition) {
+        const bool isRead = co_await this->loadReservations(executor, partition);
+        if (!isRead)
+            co_return Status(storeUnavailable("the partition cannot be read"));
+    }
     const auto reservation = this->tokens.with(
         program.value, [&](TokenShard& shard) { return shard.ledger->prepareReservation(program, maxTokens); });
     const auto missing = co_await this->confirmReservation(executor, reservation, deadline);
--- a/src/ingress/holders.cpp
+++ b/src/ingress/holders.cpp
@@ -55,13 +55,15 @@
     return holders;
 }
 
-std::optional<std::string> Ingress::Impl::domainWithoutHolder(const std::vector<FleetMember>& holders) const
+HolderScope Ingress::Impl::scopeOf(const std::vector<FleetMember>& holders) const
 {
-    const auto missing = std::ranges::find_if(this->init.regions, [&](const auto& entry) {
-        return entry.first != this->init.domain
-            && std::ranges::find(holders, entry.first, &FleetMember::domain) == holders.end();
-    });
-    return missing == this->init.regions.end() ? std::nullopt : std::optional(missing->first);
+    HolderScope scope;
+    for (const auto& [domain, region] : this->init.regions) {
+        if (domain != this->init.domain)
+            scope.domains.push_back(domain);
+    }
+    std::ranges::transform(holders, std::back_inserter(scope.domainsWithHolder), &FleetMember::domain);
+    return scope;
 }
 
 std::optional<FleetMember> Ingress::Impl::holderOf(ProgramId program)
@@ -195,26 +197,30 @@
 asio::awaitable<bool> Ingress::Impl::loadFromHolders(asio::any_io_executor executor, StorePartition partition)
 {
     const auto holders = this->holdersInOtherDomains(partition);
-    if (holders.empty() || this->domainWithoutHolder(holders))
+    const auto scope = this->scopeOf(holders);
+    if (!missingHolders(scope).empty())
         co_return false;
     const auto answers = callEach<PartitionReply>(
         executor, this->fleet, holders, PartitionRequest { partition }, partitionRequestTimeout);
-    bool all = true;
+    HolderAnswers received;
     for (std::size_t index = 0; index < holders.size(); ++index) {
         const auto next = co_await answers.next(RuntimeClock::now() + partitionRequestTimeout);
         const auto answer = next.value_or(std::nullopt);
-        all = all && answer && answer->complete;
-        if (answer)
-            this->takeOverReservations(answer->reservations);
+        if (!answer)
+            continue;
+        ++received.answered;
+        received.complete += answer->complete ? 1 : 0;
+        this->takeOverReservations(answer->reservations);
     }
-    co_return all;
+    const bool areAllComplete = missingAnswers(scope, received).empty();
+    co_return areAllComplete;
 }
 
 asio::awaitable<bool> Ingress::Impl::takeTurnsFromHolders(
     asio::any_io_executor executor, StorePartition partition, TurnTakeover& takeover)
 {
     const auto holders = this->holdersInOtherDomains(partition);
-    bool all = !holders.empty() && !this->domainWithoutHolder(holders);
+    bool all = missingHolders(this->scopeOf(holders)).empty();
     for (const auto& holder : holders) {
         const bool hasTaken = co_await this->takeTurns(executor, partition, holder, takeover);
         all = all && hasTaken;
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -3,6 +3,7 @@
 #include "allowances_p.h"
 #include "followedtopic_p.h"
 #include "peridotramp/async.h"
+#include "peridotramp/confirmation.h"
 #include "peridotramp/conversations.h"
 #include "peridotramp/fleet.h"
 #include "peridotramp/ingress.h"
@@ -412,8 +413,8 @@
     std::optional<FleetMember> holderOf(ProgramId program);
     /// Returns the holders of a partition in the other failure domains, as far as these are reachable.
     std::vector<FleetMember> holdersInOtherDomains(StorePartition partition);
-    /// Returns another failure domain to which none of `holders` belongs; empty when there is none.
-    std::optional<std::string> domainWithoutHolder(const std::vector<FleetMember>& holders) const;
+    /// Returns which of the other failure domains have one of these holders.
+    HolderScope scopeOf(const std::vector<FleetMember>& holders) const;
     /// Whether this instance is the holder of a partition and knows all its reservations in the failure domain.
     bool isComplete(StorePartition partition);
     /// Determines which partitions this instance holds, after the set of reachable instances may have changed.
@@ -602,9 +603,6 @@
     void applyReservations(const std::vector<StoreRecord>& records);
     /// Describes a program's budget and its reservations, as far as this instance knows them, for a log line.
     std::string describeBudget(ProgramId program);
-    /// Returns the key of a reservation in the store. Each revision has a key of its own, so that an append that is
-    /// repeated or takes effect late cannot replace a newer revision.
-    static std::string reservationKey(const TokenReservation& reservation);
     /// Returns the record of a reservation of this instance, followed by the deletions of those that it supersedes.
     /// Only for a single append, which is atomic.
     std::vector<StoreRecord> reservationRecords(const TokenReservation& reservation);
