Ask the other holders before a new process reserves

BUDGET: an instance confirms a reservation with the holders of the other failure domains while the store is unavailable, is killed, and starts again after the store's return.

A failure domain without members, and the first start of the whole system, need no answer. A process that runs longer behaves as before.

--- a/include/peridotramp/confirmation.h
+++ b/include/peridotramp/confirmation.h
@@ -11,6 +11,10 @@
 struct ReservationKnowledge {
     /// Whether the store contains what instances have confirmed to each other without it, as far as this one can tell.
     bool storeSettled = false;
+    /// Whether this process has run for so short a time that the store may have been unavailable just before its start.
+    bool processNew = false;
+    /// Whether the holders of the other failure domains have told this process their reservations of the partition.
+    bool holdersTold = false;
     /// Whether this instance holds the program's partition and knows all its reservations.
     bool partitionComplete = false;
     /// Whether this instance has read the partition's reservations from the store.
@@ -20,6 +24,8 @@
 enum class ReservationStep : std::uint8_t {
     /// Reservations that other instances have confirmed without the store may be missing, so nothing may be reserved.
     Refuse,
+    /// The holders of the other failure domains have to tell their reservations of the partition first.
+    AskHolders,
     /// The reservations of the partition have to be read from the store first.
     ReadPartition,
     Reserve,
@@ -52,6 +58,9 @@
 /// told all reservations of a partition; empty if nothing is.
 std::string missingAnswers(const HolderScope& scope, const HolderAnswers& answers);
 
+/// Returns whether a holder of each other failure domain has answered, whatever it knows.
+bool haveAllAnswered(const HolderScope& scope, const HolderAnswers& answers);
+
 /// Returns the key of the record of a reservation. It holds the revision, so that a repeated or late append replaces no
 /// newer record.
 std::string reservationKey(const TokenReservation& reservation);
--- a/src/decisions/confirmation/confirmation.cpp
+++ b/src/decisions/confirmation/confirmation.cpp
@@ -11,6 +11,10 @@
     // an instance that knows the whole partition can tell what is left of the budget.
     if (!knowledge.partitionComplete && !knowledge.storeSettled)
         return ReservationStep::Refuse;
+    // An earlier process of this instance may have confirmed reservations without the store, and a process that has
+    // just started cannot tell whether the store was available before.
+    if (!knowledge.partitionComplete && knowledge.processNew && !knowledge.holdersTold)
+        return ReservationStep::AskHolders;
     // A reservation that cannot be read back is useless here, but would use up the budget at all other instances.
     return knowledge.partitionRead || knowledge.partitionComplete ? ReservationStep::Reserve
                                                                   : ReservationStep::ReadPartition;
@@ -36,6 +40,11 @@
     return missing;
 }
 
+bool haveAllAnswered(const HolderScope& scope, const HolderAnswers& answers)
+{
+    return scope.domains.empty() || (missingHolders(scope).empty() && answers.answered >= scope.domains.size());
+}
+
 std::string reservationKey(const TokenReservation& reservation)
 {
     return fmt::format("{:x}/{}/{}", reservation.program.value, reservation.owner, reservation.revision);
--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -360,14 +360,23 @@
     asio::any_io_executor executor, ProgramId program, TokenCount maxTokens, TimePoint deadline)
 {
     const auto partition = this->partitionOf(program);
-    const auto step = nextReservationStep({ hasStoreSettled(this->storeHealth), this->isComplete(partition),
-        this->reservationCursor(partition).has_value() });
-    if (step == ReservationStep::Refuse)
-        co_return Status(storeUnavailable("reservations made without the store may not be stored yet"));
-    if (step == ReservationStep::ReadPartition) {
-        const bool isRead = co_await this->loadReservations(executor, partition);
-        if (!isRead)
-            co_return Status(storeUnavailable("the partition cannot be read"));
+    ReservationKnowledge knowledge { .storeSettled = hasStoreSettled(this->storeHealth),
+        .processNew = this->isNewProcess(),
+        .partitionComplete = this->isComplete(partition),
+        .partitionRead = this->reservationCursor(partition).has_value() };
+    for (auto step = nextReservationStep(knowledge); step != ReservationStep::Reserve;
+        step = nextReservationStep(knowledge)) {
+        if (step == ReservationStep::AskHolders) {
+            knowledge.holdersTold = co_await this->askHolders(executor, partition);
+            if (!knowledge.holdersTold)
+                co_return Status(storeUnavailable("the holders of other failure domains have not answered yet"));
+        } else if (step == ReservationStep::ReadPartition) {
+            knowledge.partitionRead = co_await this->loadReservations(executor, partition);
+            if (!knowledge.partitionRead)
+                co_return Status(storeUnavailable("the partition cannot be read"));
+        } else {
+            co_return Status(storeUnavailable("reservations made without the store may not be stored yet"));
+        }
     }
     const auto reservation = this->tokens.with(
         program.value, [&](TokenShard& shard) { return shard.ledger->prepareReservation(program, maxTokens); });
--- a/src/ingress/holders.cpp
+++ b/src/ingress/holders.cpp
@@ -148,6 +148,8 @@
         if (!isKnown && isStoreAvailable) {
             isKnown = co_await this->loadReservations(executor, partition);
             isStoreAvailable = isKnown;
+            if (isKnown && this->isNewProcess())
+                isKnown = co_await this->askHolders(executor, partition);
         }
         // While the store is available, the other holders store their turns themselves.
         bool hasTurns = isStoreAvailable;
@@ -194,12 +196,39 @@
         this->tokens.with(reservation.program.value, [&](TokenShard& shard) { shard.ledger->apply(reservation, now); });
 }
 
+bool Ingress::Impl::isNewProcess() const
+{
+    return !this->init.firstStart && RuntimeClock::now() - this->startedAt <= storeCatchUpTime;
+}
+
+asio::awaitable<bool> Ingress::Impl::askHolders(asio::any_io_executor executor, StorePartition partition)
+{
+    const auto holders = this->holdersInOtherDomains(partition);
+    auto scope = this->scopeOf(holders);
+    // Nobody can be asked in a domain without a member.
+    const auto peers = this->fleet.peers();
+    std::erase_if(scope.domains, [&](const std::string& domain) {
+        return std::ranges::none_of(peers, [&](const Peer& peer) { return peer.member.domain == domain; });
+    });
+    const auto answers = co_await this->takePartition(executor, partition, holders);
+    const bool haveAnswered = haveAllAnswered(scope, answers);
+    co_return haveAnswered;
+}
+
 asio::awaitable<bool> Ingress::Impl::loadFromHolders(asio::any_io_executor executor, StorePartition partition)
 {
     const auto holders = this->holdersInOtherDomains(partition);
     const auto scope = this->scopeOf(holders);
     if (!missingHolders(scope).empty())
         co_return false;
+    const auto answers = co_await this->takePartition(executor, partition, holders);
+    const bool areAllComplete = missingAnswers(scope, answers).empty();
+    co_return areAllComplete;
+}
+
+asio::awaitable<HolderAnswers> Ingress::Impl::takePartition(
+    asio::any_io_executor executor, StorePartition partition, std::vector<FleetMember> holders)
+{
     const auto answers = callEach<PartitionReply>(
         executor, this->fleet, holders, PartitionRequest { partition }, partitionRequestTimeout);
     HolderAnswers received;
@@ -212,8 +241,7 @@
         received.complete += answer->complete ? 1 : 0;
         this->takeOverReservations(answer->reservations);
     }
-    const bool areAllComplete = missingAnswers(scope, received).empty();
-    co_return areAllComplete;
+    co_return received;
 }
 
 asio::awaitable<bool> Ingress::Impl::takeTurnsFromHolders(
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -428,9 +428,18 @@
     void applyReservations(const std::vector<TokenReservation>& reservations);
     /// Records that this instance knows all reservations of a partition that it has held since `since`.
     void markComplete(StorePartition partition, TimePoint since);
+    /// Whether this process has run for so short a time that others may not have stored yet what an earlier process of
+    /// this instance confirmed without the store.
+    bool isNewProcess() const;
+    /// Takes the reservations of a partition over from the holders of the other failure domains. Returns whether a
+    /// holder of each domain that has instances has answered.
+    asio::awaitable<bool> askHolders(asio::any_io_executor executor, StorePartition partition);
     /// Loads the reservations of a partition from the holders of all other failure domains, for an instance that starts
     /// while the store is unavailable. Returns whether each of them knows the whole partition.
     asio::awaitable<bool> loadFromHolders(asio::any_io_executor executor, StorePartition partition);
+    /// Takes the reservations of a partition over from these holders.
+    asio::awaitable<HolderAnswers> takePartition(
+        asio::any_io_executor executor, StorePartition partition, std::vector<FleetMember> holders);
     /// Takes over the turns that the holders of the other failure domains could not store yet. Returns whether each of
     /// them has sent all of its turns; call it again to continue where it stopped.
     asio::awaitable<bool> takeTurnsFromHolders(
--- a/tests/confirmation/model.cpp
+++ b/tests/confirmation/model.cpp
@@ -38,6 +38,8 @@
     bool isRead = false;
     // Whether enough time has passed since this process saw the store fail.
     bool isSettled = true;
+    // Whether enough time has passed since this process started.
+    bool isOld = false;
     // Records that its writer has not stored.
     std::vector<LogRecord> owed;
     // Failure domains whose holder may not know this instance's reservations.
@@ -87,8 +89,8 @@
 {
     std::string text = fmt::format("{}{}|", world.cut.to_ulong(), world.isStoreUp);
     for (const auto& node : world.nodes) {
-        text += fmt::format("{}{}{}{}{}{}{}[", node.isAlive, node.incarnation, node.isHolder, node.isComplete,
-            node.isRead, node.isSettled, node.pendingCopies.to_ulong());
+        text += fmt::format("{}{}{}{}{}{}{}{}[", node.isAlive, node.incarnation, node.isHolder, node.isComplete,
+            node.isRead, node.isSettled, node.isOld, node.pendingCopies.to_ulong());
         for (const auto& known : node.ledger.knownReservations(program))
             text += describe(known) + ",";
         const auto account = node.ledger.account(program, now);
@@ -152,7 +154,9 @@
     void copyToHolders(World& world, std::size_t node, const TokenReservation& reservation) const;
     void confirmThroughStore(World& world, std::size_t turn) const;
     void confirmByHolders(World& world, std::size_t turn) const;
+    bool askHolders(World& world, std::size_t node) const;
     bool loadFromHolders(World& world, std::size_t node) const;
+    HolderAnswers takePartition(World& world, std::size_t node, const std::vector<std::size_t>& holders) const;
 
     Scenario scenario;
     Exploration outcome;
@@ -301,13 +305,21 @@
         begun.stage = TurnStage::Admitted;
     if (admission != TokenAdmission::Reserve)
         return;
-    auto step = this->scenario.rules.nextStep({ node.isSettled, node.isComplete, node.isRead });
-    if (step == ReservationStep::ReadPartition && this->reachesStore(world, holder)) {
-        this->readLog(world, holder);
-        step = ReservationStep::Reserve;
+    ReservationKnowledge knowledge { .storeSettled = node.isSettled,
+        .processNew = !node.isOld,
+        .partitionComplete = node.isComplete,
+        .partitionRead = node.isRead };
+    const auto& nextStep = this->scenario.rules.nextStep;
+    for (auto step = nextStep(knowledge); step != ReservationStep::Reserve; step = nextStep(knowledge)) {
+        if (step == ReservationStep::AskHolders && this->askHolders(world, holder)) {
+            knowledge.holdersTold = true;
+        } else if (step == ReservationStep::ReadPartition && this->reachesStore(world, holder)) {
+            this->readLog(world, holder);
+            knowledge.partitionRead = true;
+        } else {
+            return;
+        }
     }
-    if (step != ReservationStep::Reserve)
-        return;
     begun.reservation = node.ledger.prepareReservation(program, turnTokens);
     begun.stage = TurnStage::Prepared;
 }
@@ -363,19 +375,29 @@
     this->admit(world, turn);
 }
 
+bool Explorer::askHolders(World& world, std::size_t node) const
+{
+    const auto holders = this->holdersElsewhere(world, node);
+    return haveAllAnswered(this->scopeOf(node, holders), this->takePartition(world, node, holders));
+}
+
 bool Explorer::loadFromHolders(World& world, std::size_t node) const
 {
     const auto holders = this->holdersElsewhere(world, node);
     const auto scope = this->scopeOf(node, holders);
-    if (!this->scenario.rules.missingHolders(scope).empty())
-        return false;
+    return this->scenario.rules.missingHolders(scope).empty()
+        && this->scenario.rules.missingAnswers(scope, this->takePartition(world, node, holders)).empty();
+}
+
+HolderAnswers Explorer::takePartition(World& world, std::size_t node, const std::vector<std::size_t>& holders) const
+{
     HolderAnswers answers;
     for (const auto holder : holders) {
         ++answers.answered;
         answers.complete += world.nodes[holder].isComplete ? 1 : 0;
         this->applyAll(world, node, world.nodes[holder].ledger.knownReservations(program), true);
     }
-    return this->scenario.rules.missingAnswers(scope, answers).empty();
+    return answers;
 }
 
 World Explorer::firstWorld() const
@@ -389,6 +411,7 @@
     for (std::size_t node = 0; node < nodeCount; ++node) {
         world.nodes[node].isComplete = world.nodes[node].isHolder;
         world.nodes[node].isRead = world.nodes[node].isHolder;
+        world.nodes[node].isOld = true;
     }
     return world;
 }
@@ -504,7 +527,8 @@
             auto loaded = world;
             if (state.isSettled && this->reachesStore(world, node)) {
                 this->readLog(loaded, node);
-                loaded.nodes[node].isComplete = true;
+                loaded.nodes[node].isComplete
+                    = state.isOld || !this->scenario.rules.asksWhenNew || this->askHolders(loaded, node);
             } else {
                 loaded.nodes[node].isComplete = this->loadFromHolders(loaded, node);
             }
@@ -523,16 +547,18 @@
     // The time after which an instance takes the store as settled is long enough for all others to store what they owe.
     const auto owes
         = [&](std::size_t node) { return this->reachesStore(world, node) && !world.nodes[node].owed.empty(); };
-    const auto isUnsettled
-        = [&](std::size_t node) { return this->reachesStore(world, node) && !world.nodes[node].isSettled; };
+    const auto isUnsettled = [&](std::size_t node) {
+        const auto& state = world.nodes[node];
+        return this->reachesStore(world, node) && !(state.isSettled && state.isOld);
+    };
     const auto all = std::views::iota(std::size_t { 0 }, nodeCount);
     if (std::ranges::any_of(all, isUnsettled) && std::ranges::none_of(all, owes)) {
         auto settled = world;
         for (const auto node : all) {
             if (this->reachesStore(settled, node))
-                settled.nodes[node].isSettled = true;
+                settled.nodes[node].isSettled = settled.nodes[node].isOld = true;
         }
-        this->add(std::move(settled), "the store counts as settled");
+        this->add(std::move(settled), "time passes in which all store what they owe");
     }
     for (std::size_t late = 0; world.isStoreUp && late < world.lateAppends.size(); ++late) {
         auto applied = world;
--- a/tests/confirmation/model.h
+++ b/tests/confirmation/model.h
@@ -23,6 +23,8 @@
     std::function<std::string(const HolderScope&)> missingHolders = peridotramp::missingHolders;
     std::function<std::string(const HolderScope&, const HolderAnswers&)> missingAnswers = peridotramp::missingAnswers;
     std::function<std::string(const TokenReservation&)> key = reservationKey;
+    /// Whether a new process that loads a partition from the store asks the other holders, too.
+    bool asksWhenNew = true;
 };
 
 /// Faults that may happen, each at most so many times.
--- a/tests/confirmation/reservations.cpp
+++ b/tests/confirmation/reservations.cpp
@@ -32,6 +32,7 @@
 Rules rulesOfReachableHolders()
 {
     Rules rules;
+    rules.asksWhenNew = false;
     rules.nextStep = [](const ReservationKnowledge& knowledge) {
         if (!knowledge.partitionComplete && !knowledge.storeSettled)
             return ReservationStep::Refuse;
--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -352,6 +352,31 @@
     }
 }
 
+// Guards against a budget that is granted twice: a process starts after the store's return, finds the log without what
+// its instance had confirmed with the other holders, and takes the log as complete (review/4 with ORDER=return).
+TEST_CASE("an instance that starts after a store outage asks the other holders before it reserves")
+{
+    Deployment deployment;
+    auto& endpoint = deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    const auto usual = deployment.storeClient;
+    // The copies of the reservation have not reached the store when the instance starts again.
+    deployment.storeClient = [&] { return withoutAppends(deployment, StoreTopic::TokenReservations); };
+    auto first = deployment.startReady("n1", true, "a");
+    const std::vector<std::shared_ptr<Ingress>> others { deployment.startReady("n2", true, "b"),
+        deployment.startReady("n3", true, "c") };
+    for (const auto& instance : { first, others[0], others[1] })
+        REQUIRE(eventually([&] { return isComplete(*instance) && heardPeers(*instance) == 2; }));
+    REQUIRE(deployment.send(*first, budgetedTurn("t1", "p1", "30")).second.status == 200);
+    REQUIRE(deployment.fakeStore.keyCount(StoreTopic::TokenReservations) == 0);
+    first.reset();
+    deployment.storeClient = usual;
+    const auto restarted = deployment.startReady("n1", false, "a");
+    REQUIRE(
+        eventually([&] { return deployment.send(*restarted, budgetedTurn("t2", "p1", "30")).second.status == 402; }));
+    REQUIRE(endpoint.requests().size() == 1);
+}
+
 // Guards against unstored turns that a restarted holder never gets because they exceed the size of one message.
 TEST_CASE("an instance that starts while the store is away takes all unstored turns, however many")
 {
