Count what the other holders know beside a stored reservation

BUDGET: an instance appends the record of a reservation, the store becomes silent, and the holders of all failure domains, one of them a process that has taken the instance's place, confirm another reservation of the program to each other. When the store returns, the instance reads its record back; the log has nothing else, and it gives the tokens out, too.

`ReservationCopy` says whether the store has the reservation; `ReservationsNotice` is left for whole partitions. One message and one answer a holder, as before; the answer is longer by the known reservations.

--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -307,9 +307,12 @@
     bool allReleased = false;
 };
 
-/// Sends the holder of a program in another failure domain a reservation that the metadata store has not confirmed.
+/// Sends another holder of a program a reservation.
 struct ReservationCopy {
     TokenReservation reservation;
+    /// Whether the metadata store has the reservation. If not, the receiver stores it, too. If so, an instance that
+    /// does not hold the program answers `NotReady`.
+    bool stored = false;
 };
 
 struct ReservationCopyReply {
@@ -326,7 +329,7 @@
     std::vector<TokenReservation> reservations;
 };
 
-/// Sends another holder of a partition reservations that the metadata store has confirmed. Answered by `DoneMessage`,
+/// Sends another holder of a partition reservations that it may not know. Answered by `DoneMessage`,
 /// or by `NotReady` from an instance that does not hold their partitions.
 struct ReservationsNotice {
     std::vector<TokenReservation> reservations;
--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -227,7 +227,7 @@
     if (auto missing = missingHolders(scope); !missing.empty())
         co_return missing;
     const auto answers = callEach<ReservationCopyReply>(
-        executor, this->fleet, holders, ReservationCopy { reservation }, holderConfirmTimeout);
+        executor, this->fleet, holders, ReservationCopy { reservation, false }, holderConfirmTimeout);
     HolderAnswers received;
     for (std::size_t index = 0; index < holders.size(); ++index) {
         const auto next = co_await answers.next(std::min(deadline, RuntimeClock::now() + holderConfirmTimeout));
@@ -310,9 +310,13 @@
         std::erase_if(holders,
             [&](const FleetMember& holder) { return this->pendingCopies.contains({ holder.domain, partition }); });
     }
-    callMembers<DoneMessage>(this->fleet, holders, ReservationsNotice { { reservation } }, holderConfirmTimeout,
-        [setPending, onDone](const FleetMember& holder, const std::optional<DoneMessage>& reply) {
-            if (!reply)
+    // A holder may know reservations that others confirm without the store while this instance reads the log.
+    callMembers<ReservationCopyReply>(this->fleet, holders, ReservationCopy { reservation, true }, holderConfirmTimeout,
+        [impl = this->shared_from_this(), setPending, onDone](
+            const FleetMember& holder, const std::optional<ReservationCopyReply>& reply) {
+            if (reply)
+                impl->applyReservations(reply->reservations);
+            else
                 setPending(holder.domain);
             onDone();
         });
@@ -412,18 +416,19 @@
     }
 }
 
-ReservationCopyReply Ingress::Impl::handleReservationCopy(const TokenReservation& reservation)
+ReservationCopyReply Ingress::Impl::handleReservationCopy(const ReservationCopy& copy)
 {
-    const auto program = reservation.program;
+    const auto program = copy.reservation.program;
     const auto partition = this->partitionOf(program);
     ReservationCopyReply reply;
     reply.complete = this->isComplete(partition);
     reply.reservations = this->tokens.with(program.value, [&](TokenShard& shard) {
-        shard.ledger->apply(reservation, RuntimeClock::now());
+        shard.ledger->apply(copy.reservation, RuntimeClock::now());
         return shard.ledger->knownReservations(program);
     });
     // The sender may fail before the store is available again.
-    this->storeReservationCopy(reservation);
+    if (!copy.stored)
+        this->storeReservationCopy(copy.reservation);
     return reply;
 }
 
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -586,7 +586,7 @@
     /// Queues a copy of a reservation of another owner for the store.
     void storeReservationCopy(const TokenReservation& reservation);
     /// Handles a copy of a reservation that another failure domain sends while the store does not answer there.
-    ReservationCopyReply handleReservationCopy(const TokenReservation& reservation);
+    ReservationCopyReply handleReservationCopy(const ReservationCopy& copy);
     StoreWriter& tokenWriter(StorePartition partition);
     /// Releases all tokens that no turn needs; for a shutdown.
     void releaseAllTokens();
--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -297,7 +297,10 @@
                 answer.send(ReleaseTokensReply { allReleased });
             });
     } else if (const auto* reservation = std::get_if<ReservationCopy>(&message)) {
-        reply.send(this->handleReservationCopy(reservation->reservation));
+        if (reservation->stored && !this->isHolder(this->partitionOf(reservation->reservation.program)))
+            reply.send(ErrorMessage { { ErrorKind::NotReady, Outcome::NotRun, "not the holder of the partition" } });
+        else
+            reply.send(this->handleReservationCopy(*reservation));
     } else if (const auto* handover = std::get_if<HandoverNotice>(&message)) {
         this->applyHandover(*handover);
         reply.send(DoneMessage {});
--- a/src/nodes/messages_p.h
+++ b/src/nodes/messages_p.h
@@ -298,7 +298,10 @@
     archive(reservation.program, reservation.owner, reservation.reserved, reservation.used, reservation.revision);
 }
 
-template <typename Archive> void serialize(Archive& archive, ReservationCopy& message) { archive(message.reservation); }
+template <typename Archive> void serialize(Archive& archive, ReservationCopy& message)
+{
+    archive(message.reservation, message.stored);
+}
 
 template <typename Archive> void serialize(Archive& archive, ReservationCopyReply& message)
 {
--- a/tests/confirmation/model.cpp
+++ b/tests/confirmation/model.cpp
@@ -328,9 +328,11 @@
 {
     for (std::size_t domain = 0; domain < domainCount; ++domain) {
         const auto holder = domain == domainOf(node) ? std::nullopt : this->holderAt(world, node, domain);
-        if (holder)
+        if (holder) {
             this->applyAll(world, *holder, { reservation }, false);
-        else if (domain != domainOf(node))
+            if (this->scenario.rules.holdersTellWhenNoticed)
+                this->applyAll(world, node, world.nodes[*holder].ledger.knownReservations(program), false);
+        } else if (domain != domainOf(node))
             world.nodes[node].pendingCopies.set(domain);
     }
 }
--- a/tests/confirmation/model.h
+++ b/tests/confirmation/model.h
@@ -25,6 +25,8 @@
     std::function<std::string(const TokenReservation&)> key = reservationKey;
     /// Whether a new process that loads a partition from the store asks the other holders, too.
     bool asksWhenNew = true;
+    /// Whether the holders that are told of a stored reservation answer with those that they know.
+    bool holdersTellWhenNoticed = true;
 };
 
 /// Faults that may happen, each at most so many times.
--- a/tests/confirmation/reservations.cpp
+++ b/tests/confirmation/reservations.cpp
@@ -33,6 +33,7 @@
 {
     Rules rules;
     rules.asksWhenNew = false;
+    rules.holdersTellWhenNoticed = false;
     rules.nextStep = [](const ReservationKnowledge& knowledge) {
         if (!knowledge.partitionComplete && !knowledge.storeSettled)
             return ReservationStep::Refuse;
--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -312,6 +312,38 @@
     REQUIRE(eventually([&] { return confirmed >= 1; }));
 }
 
+// Guards against a budget that is granted twice: while an instance reads its record back from the log, the holders of
+// the failure domains confirm a reservation to each other, because they do not reach the store.
+TEST_CASE("a stored reservation counts only beside those that the other holders know")
+{
+    Deployment deployment;
+    auto& endpoint = deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    FleetHooks hooks;
+    hooks.fillStatus = [](InstanceStatus&) { };
+    hooks.onStatus = [](const InstanceStatus&) { };
+    hooks.fillSummary = [](DomainSummary&) { };
+    hooks.onSummary = [](const DomainSummary&) { };
+    hooks.fillDigest = [](FleetDigest&) { };
+    hooks.onDigest = [](const FleetDigest&) { };
+    hooks.onPeriod = [] { };
+    hooks.onMembersChanged = [] { };
+    hooks.onMessage = [&](const Message& message, const RpcReply& reply) {
+        if (const auto* copy = std::get_if<ReservationCopy>(&message))
+            reply.send(ReservationCopyReply { true, { { copy->reservation.program, "n3/1", { 30 }, { 30 }, 1 } } });
+        else
+            reply.send(ErrorMessage { { ErrorKind::NotReady, Outcome::NotRun } });
+    };
+    Fleet holder(deployment.runtime, { { "n2", "b", { "127.0.0.1", 0 }, 1 }, { 7 } }, hooks);
+    const auto instance = deployment.startReady("n1", true, "a");
+    holder.announce({ "n1", "a", instance->peerAddress(), 1 });
+    holder.start();
+    deployment.fakeStore.put(StoreTopic::Members, {}, "n2", encodeMember(holder.self()));
+    REQUIRE(eventually([&] { return heardPeers(*instance) == 1; }));
+    REQUIRE(deployment.send(*instance, budgetedTurn("t1", "p1", "30")).second.status == 402);
+    REQUIRE(endpoint.requests().empty());
+}
+
 // Guards against a budget that is granted twice: right after an outage, the log does not contain yet what the holders
 // of the failure domains have confirmed to each other without it.
 TEST_CASE("after a store outage an instance that does not know the partition reserves nothing of a spent budget")
