Weigh fixed holders in the model

The product lets any holders that can be reached confirm without the store; the model shows that a cut makes two sides of it give out the same tokens.

Change: the model has a rule in which each failure domain has one holder that stays when it is not reached. Without the store all holders confirm, with it one of them, which may be the instance itself. The product is unchanged.

--- a/tests/confirmation/model.cpp
+++ b/tests/confirmation/model.cpp
@@ -171,13 +171,14 @@
 {
     std::vector<FleetMember> members;
     for (std::size_t node = domain * nodesPerDomain; node < (domain + 1) * nodesPerDomain; ++node) {
-        if (this->reach(world, viewer, node))
+        if (this->scenario.rules.fixedHolders || this->reach(world, viewer, node))
             members.push_back({ std::string(nodeNames[node]), std::string(domainNames[domain]), {}, 1 });
     }
     const auto order = weightedRendezvousOrder(std::move(members), partitionKey);
     if (order.empty())
         return std::nullopt;
-    return static_cast<std::size_t>(std::ranges::find(nodeNames, order.front().name) - nodeNames.begin());
+    const auto holder = static_cast<std::size_t>(std::ranges::find(nodeNames, order.front().name) - nodeNames.begin());
+    return this->reach(world, viewer, holder) ? std::optional(holder) : std::nullopt;
 }
 
 std::vector<std::size_t> Explorer::holdersElsewhere(const World& world, std::size_t viewer) const
@@ -343,6 +344,17 @@
     auto& node = world.nodes[begun.holder];
     this->readLog(world, begun.holder);
     this->copyToHolders(world, begun.holder, begun.reservation);
+    if (this->scenario.rules.fixedHolders) {
+        const auto holders = this->holdersElsewhere(world, begun.holder);
+        const bool isConfirmed = (node.isHolder && node.isComplete)
+            || std::ranges::any_of(holders, [&](std::size_t holder) { return world.nodes[holder].isComplete; });
+        if (!isConfirmed) {
+            node.ledger.markUncertain(program);
+            world.turns[turn].stage = TurnStage::Refused;
+            world.turns[turn].reservation = {};
+            return;
+        }
+    }
     node.ledger.confirm(begun.reservation);
     this->admit(world, turn);
 }
@@ -455,7 +467,10 @@
         NodeSet holders;
         for (std::size_t entry = 0; entry < nodeCount; ++entry) {
             const bool isTried = this->scenario.entries[entry] && domainOf(entry) <= usedDomains;
-            const auto holder = isTried ? this->holderAt(world, entry, domainOf(entry)) : std::nullopt;
+            auto holder = isTried ? this->holderAt(world, entry, domainOf(entry)) : std::nullopt;
+            // Without its holder, another instance of the domain takes the turn.
+            if (isTried && !holder && world.nodes[entry].isAlive)
+                holder = entry;
             if (holder && !isBusy(*holder))
                 holders.set(*holder);
         }
--- a/tests/confirmation/model.h
+++ b/tests/confirmation/model.h
@@ -27,6 +27,9 @@
     bool asksWhenNew = true;
     /// Whether the holders that are told of a stored reservation answer with those that they know.
     bool holdersTellWhenNoticed = true;
+    /// Candidate, not in the product: each domain has one holder that stays when it is not reached. All of them confirm
+    /// without the store; with it, one of them has to, which may be the instance itself.
+    bool fixedHolders = false;
 };
 
 /// Faults that may happen, each at most so many times.
--- a/tests/confirmation/reservations.cpp
+++ b/tests/confirmation/reservations.cpp
@@ -127,3 +127,22 @@
         requireViolationFound({ .rules = reachable, .faults = { .storeOutages = 1, .killsOfAll = 1 } });
     }
 }
+
+// Guards against a candidate for the rules (issue 44, part 2) that is taken over without its evidence: one holder for
+// each failure domain that stays the holder while it is not reached.
+TEST_CASE("fixed holders keep the budget through a cut, an outage and a kill")
+{
+    Rules fixed;
+    fixed.fixedHolders = true;
+    SECTION("a cut") { requireBudgetKept({ .rules = fixed, .faults = { .cuts = 1 } }); }
+    SECTION("a cut and an outage")
+    {
+        requireBudgetKept({ .rules = fixed, .faults = { .cuts = 1, .storeOutages = 1 } });
+    }
+    SECTION("an outage and a kill")
+    {
+        requireBudgetKept({ .rules = fixed, .faults = { .storeOutages = 1, .kills = 1 } });
+    }
+    SECTION("a late append") { requireBudgetKept({ .rules = fixed, .faults = { .lateAppends = 1 } }); }
+    SECTION("a repeated append") { requireBudgetKept({ .rules = fixed, .faults = { .repeatedAppends = 1 } }); }
+}
