End the earlier process in a test of outages

Cause: the test meant to end an instance by its last pointer, but the fixture keeps every instance. So two instances of one name ran and announced their addresses in turn, as the log shows; the new one heard of the other holders only after more than the 1.5 s in which it has to ask them. The others could never store their copies in that test, which no rule allows for.

Change: the earlier process is not started; the test gives the two other holders its reservation as that process would. They store it a second after the start of the new process, so that the test does not depend on the machine's speed. The check is the same: the turn is refused with 402, and no request reaches the endpoint.

--- a/tests/ingress/outage.cpp
+++ b/tests/ingress/outage.cpp
@@ -388,25 +388,40 @@
 // its instance had confirmed with the other holders, and takes the log as complete (review/4 with ORDER=return).
 TEST_CASE("an instance that starts after a store outage asks the other holders before it reserves")
 {
+    // Less than the time after which a process takes the log as complete.
+    constexpr Milliseconds storingDelay { 1000 };
     Deployment deployment;
     auto& endpoint = deployment.addEndpoint("i-1", "engines", threeEvents);
     deployment.publish(1);
     const auto usual = deployment.storeClient;
-    // The copies of the reservation have not reached the store when the instance starts again.
-    deployment.storeClient = [&] { return withoutAppends(deployment, StoreTopic::TokenReservations); };
-    auto first = deployment.startReady("n1", true, "a");
+    const auto isStoring = std::make_shared<std::atomic<bool>>(false);
+    deployment.storeClient = [&deployment, isStoring] {
+        auto client = deployment.fakeStore.client();
+        client.append = [isStoring, append = client.append](StoreTopic topic, StorePartition partition,
+                            const std::vector<StoreRecord>& records, MetadataStore::AppendHook hook) {
+            if (topic == StoreTopic::TokenReservations && !*isStoring)
+                hook(Error { ErrorKind::LogUnavailable, Outcome::NotRun });
+            else
+                append(topic, partition, records, std::move(hook));
+        };
+        return client;
+    };
     const std::vector<std::shared_ptr<Ingress>> others { deployment.startReady("n2", true, "b"),
         deployment.startReady("n3", true, "c") };
-    for (const auto& instance : { first, others[0], others[1] })
-        REQUIRE(eventually([&] { return isComplete(*instance) && heardPeers(*instance) == 2; }));
-    REQUIRE(deployment.send(*first, budgetedTurn("t1", "p1", "30")).second.status == 200);
-    REQUIRE(deployment.fakeStore.keyCount(StoreTopic::TokenReservations) == 0);
-    first.reset();
+    for (const auto& instance : others)
+        REQUIRE(eventually([&] { return isComplete(*instance) && heardPeers(*instance) == 1; }));
+    // What an earlier process of the instance has confirmed with them.
+    const TokenReservation confirmed { idFromName<ProgramId>("w/p1"), "n1/1", { 30 }, { 30 }, 1 };
+    for (const auto& instance : others)
+        REQUIRE(callInstance<ReservationCopyReply>(deployment, *instance, ReservationCopy { confirmed }).complete);
     deployment.storeClient = usual;
+    const auto begin = RuntimeClock::now();
     const auto restarted = deployment.startReady("n1", false, "a");
-    REQUIRE(
-        eventually([&] { return deployment.send(*restarted, budgetedTurn("t2", "p1", "30")).second.status == 402; }));
-    REQUIRE(endpoint.requests().size() == 1);
+    REQUIRE(eventually([&] {
+        *isStoring = RuntimeClock::now() - begin > storingDelay;
+        return deployment.send(*restarted, budgetedTurn("t1", "p1", "30")).second.status == 402;
+    }));
+    REQUIRE(endpoint.requests().empty());
 }
 
 // Guards against unstored turns that a restarted holder never gets because they exceed the size of one message.
