--- a/tests/confirmation/model.cpp
+++ b/tests/confirmation/model.cpp
@@ -146,7 +146,7 @@
     void end(World& world, std::size_t node) const;
     void append(World& world, const LogRecord& record) const;
     void readLog(World& world, std::size_t node) const;
-    bool applyAll(
+    void applyAll(
         World& world, std::size_t node, const std::vector<TokenReservation>& reservations, bool takesOver) const;
     TokenRequest requestOf(std::size_t turn) const;
     void begin(World& world, std::size_t turn, std::size_t holder) const;
@@ -204,7 +204,7 @@
     return scope;
 }
 
-bool Explorer::applyAll(
+void Explorer::applyAll(
     World& world, std::size_t node, const std::vector<TokenReservation>& reservations, bool takesOver) const
 {
     auto& receiver = world.nodes[node];
@@ -214,7 +214,6 @@
             receiver.owed.push_back(
                 { this->scenario.rules.key(reservation) + "@" + std::string(nodeNames[node]), reservation });
     }
-    return true;
 }
 
 // Every instance notices at once who can be reached. A holder that is replaced by one that it reaches hands over.
