--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -479,11 +479,13 @@
         self.runners.append(one)
         return one
 
-    def configure(self, version, routes, services):
+    def configure(self, version, routes, services, tenants=("tenant-a",)):
+        """Writes a desired state. The key of tenant-X is key-X, and no tenant has a limit."""
         state = {"version": version, "routes": routes, "services": services,
                  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                             "idleTimeoutMs": IDLE_TIMEOUT_S * 1000},
-                 "tenants": [{"name": "tenant-a", "apiKeys": ["key-a"], "priority": 1, "ratePerS": 0, "burst": 0}]}
+                 "tenants": [{"name": name, "apiKeys": [name.replace("tenant", "key")], "priority": 1, "ratePerS": 0,
+                              "burst": 0} for name in tenants]}
         self.store.put("keyed.op", "config", json.dumps(state).encode())
 
     async def start(self):
