Review: drop two cases that earlier ones show

Turns lost by a power-off while the store is slow have the cause of review/2, and two groups of machines that grant one budget are review/6. The other cases move up.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The stand-ins of the scripts in review/12, 14 and 15 are Python (3.11 or later, standard library only), and nothing
+# The stand-ins of the scripts in review/11 to review/13 are Python (3.11 or later, standard library only), and nothing
 # has to be compiled. This checks that they can run here.
 cd "$(dirname "$0")" || exit 1
 python3 -B - <<'PY'
