--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -91,6 +91,11 @@
     return data
 
 
+async def write_chunk(writer, data):
+    writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+    await writer.drain()
+
+
 async def read_body(reader, message):
     if "chunked" in (message.get("Transfer-Encoding") or "").lower():
         parts = []
@@ -248,7 +253,10 @@
 class Runner:
     """A runner of a service. Streams have `events` events, plain requests take `work_s`."""
 
-    def __init__(self, record, store, name, service, zone, address, work_s=0.05, events=0, gap_s=0.02, data=None):
+    def __init__(self, record, store, name, service, zone, address, work_s=0.05, events=0, gap_s=0.02, data=None,
+                 comments=0):
+        """`comments`: number of comments (lines that begin with a colon) that are sent before each event."""
+        self.comments = comments
         self.record, self.store, self.name, self.service, self.zone = record, store, name, service, zone
         self.address, self.port = address, free_ports(address, 1)[0]
         self.work_s, self.events, self.gap_s = work_s, events, gap_s
@@ -323,10 +331,11 @@
         headers += [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
         writer.write(response(200, headers, framed=False))
         for number in range(1, self.events + 1):
+            for _ in range(self.comments):
+                await asyncio.sleep(self.gap_s)
+                await write_chunk(writer, b": keep-alive\n\n")
             await asyncio.sleep(self.gap_s)
-            event = f"id: {number}\ndata: {self.data(message, number)}\n\n".encode()
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-            await writer.drain()
+            await write_chunk(writer, f"id: {number}\ndata: {self.data(message, number)}\n\n".encode())
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
@@ -336,6 +345,7 @@
 class Answer:
     def __init__(self):
         self.status, self.headers, self.body, self.complete, self.sent, self.ended = 0, None, b"", False, now(), 0.0
+        self.malformed = b""
 
     def text(self):
         return f"{self.status or 'none'} {'complete' if self.complete else 'incomplete'}, {len(self.body)} bytes"
@@ -376,8 +386,13 @@
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         await writer.drain()
         head = await read_head(reader)
+        if not re.match(r"HTTP/1\.1 [1-5]\d\d( |$)", head.start):
+            answer.malformed = head.start.encode("latin1")
+            raise ValueError("bytes that are no answer")
         answer.status, answer.headers = int(head.start.split(" ")[1]), head
-        if "chunked" in (head.get("Transfer-Encoding") or "").lower():
+        if method == "HEAD":
+            pass  # An answer to HEAD has no body, whatever its headers say (RFC 9110, section 9.3.2).
+        elif "chunked" in (head.get("Transfer-Encoding") or "").lower():
             while part := await read_chunk(reader):
                 answer.body += part
         else:
