--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -530,6 +530,9 @@
     """Runs a case and exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run."""
     async def main():
         world = World(folder, per_zone)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             problems = await asyncio.wait_for(body(world), 110)
             for problem in problems:
@@ -537,7 +540,7 @@
                 print(problem)
             world.record.write(f"result: {'broken' if problems else 'held'}")
             status = 1 if problems else 0
-        except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
             world.record.write(f"could not run: {error!r}")
             print(f"could not run: {error!r}", file=sys.stderr)
             status = 2
