Drop a record that the store refuses, and append the others

Cause: the size check compared the encoded turn with the bound and left out the key and its length byte, and the writer of a partition took every failed append as temporary, so it repeated the refused batch for good.

Change: an append that the store refuses for its content (400, 403, 404, 413) has an error kind of its own. The writer halves such a batch until the refused record is alone, drops it with a log line and a metric, and appends the rest. Sizes, and the 255 bytes of a key, are checked by the client that encodes the records. A turn whose input or id cannot be stored is refused with 413 before it runs.

The new tests "a record that the store refuses is dropped alone" (store) and "a turn that the store refuses keeps no other turn" (ingress) fail with the writer as it was.

--- a/include/peridotramp/conversations.h
+++ b/include/peridotramp/conversations.h
@@ -61,6 +61,9 @@
     /// Notes that whoever sent a turn did not know whether the metadata store has it; changes nothing once this
     /// instance knows that the store has it.
     void markUnstored(std::string_view id, TimePoint now);
+    /// Notes that the metadata store refuses a turn, which therefore stays in memory only: it is not among the unstored
+    /// ones any more.
+    void markRefused(std::string_view id);
     /// Whether the metadata store is known to have a turn.
     bool isStored(std::string_view id) const;
     /// Returns the turns that the metadata store is not known to have.
@@ -76,6 +79,7 @@
         TimePoint keepUntil;
         std::optional<StorePartition> storedIn;
         bool isStored = false;
+        bool isRefused = false;
     };
 
     std::map<std::string, Entry, std::less<>> turns;
--- a/include/peridotramp/core.h
+++ b/include/peridotramp/core.h
@@ -171,6 +171,7 @@
     Overloaded,
     Internal,
     AnswerTooLarge,
+    RecordRefused,
     Count
 };
 
--- a/include/peridotramp/nodes.h
+++ b/include/peridotramp/nodes.h
@@ -565,6 +565,8 @@
 Result<FleetDatagram> decodeFleetDatagram(std::string_view bytes);
 /// Encodes a turn for the metadata store.
 std::string encodeTurn(const ConversationTurn& turn);
+/// Returns the size in bytes of what `encodeTurn` returns, without encoding the turn.
+std::size_t encodedTurnBytes(const ConversationTurn& turn);
 /// Decodes a turn. Errors: `MalformedFrame`.
 Result<ConversationTurn> decodeTurn(std::string_view bytes);
 /// Encodes a reservation for the metadata store.
--- a/include/peridotramp/store.h
+++ b/include/peridotramp/store.h
@@ -50,7 +50,7 @@
 };
 
 /// Calls of the metadata store. Errors: `LogUnavailable`, with outcome `NotRun` only when the call certainly had no
-/// effect.
+/// effect; `RecordRefused` when the store does not accept an append and would refuse each repetition of it.
 struct MetadataStore {
     using AppendHook = std::function<void(Result<Offset>)>;
     using ReadHook = std::function<void(Result<StoreRead>)>;
@@ -62,6 +62,16 @@
     std::function<void(StoreTopic, StorePartition, Offset from, Milliseconds wait, ReadHook)> read;
     /// Reads a page of the newest records, starting after the key `after`.
     std::function<void(StoreTopic, StorePartition, const std::string& after, PageHook)> newest;
+    /// Returns `RecordRefused`, with the bound in its detail, when no append can store a record with a key and a value
+    /// of these sizes in bytes. Accepts all sizes unless it is set.
+    std::function<Status(std::size_t keyBytes, std::size_t valueBytes)> checkSize
+        = [](std::size_t, std::size_t) { return Status(std::monostate {}); };
+
+    /// Returns whether the sizes of a record are within the bounds of the store.
+    bool accepts(const StoreRecord& record) const
+    {
+        return this->checkSize(record.key.size(), record.value.size()).hasValue();
+    }
 };
 
 /// Sends one HTTP request to the metadata store and returns the complete response.
@@ -145,8 +155,10 @@
         std::size_t maxWaitingBytes = std::size_t { 24 } * 1024 * 1024;
         /// Called for each record once it is stored. Optional.
         std::function<void(const StoreRecord&)> onStored {};
+        /// Called for each record that the store refuses, instead of `onStored`. Optional.
+        std::function<void(const StoreRecord&)> onRefused {};
     };
-    /// Called once with whether the record is stored; false when it was rejected.
+    /// Called once with whether the record is stored; false when it was rejected, or when the store refuses it.
     using StoredHook = std::function<void(bool stored)>;
 
     StoreWriter(Runtime& runtime, const MetadataStore& store, Init init);
@@ -154,10 +166,11 @@
     StoreWriter& operator=(const StoreWriter&) = delete;
     ~StoreWriter();
 
-    /// Queues a record. It is appended again after a failed append, so storing it twice must be harmless.
+    /// Queues a record. It is appended again after a failed append, so storing it twice must be harmless. A record that
+    /// the store refuses is dropped; the others of its append are appended without it.
     void write(StoreRecord record, const StoredHook& hook);
     /// Queues records without a hook, to go into as few appends as possible. Records that would exceed
-    /// `maxWaitingBytes` are dropped. Returns whether all were queued.
+    /// `maxWaitingBytes`, or whose size the store does not accept, are dropped. Returns whether all were queued.
     bool write(std::vector<StoreRecord> records);
     /// Returns the number of records not stored yet.
     std::size_t waiting() const;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -49,6 +49,7 @@
     { "overloaded", "a queue is full; retry after the given time" },
     { "internal", "internal error; report it with the log lines of the process" },
     { "answer_too_large", "the peer's answer exceeds the size limit; check the peer, or raise the limit" },
+    { "record_refused", "the log does not accept the record; correct it as the detail says, a retry is refused too" },
 } };
 
 const ErrorText& textOf(ErrorKind kind)
--- a/src/decisions/conversations/conversations.cpp
+++ b/src/decisions/conversations/conversations.cpp
@@ -25,7 +25,7 @@
     this->totalBytes += sizeOf(turn);
     auto id = turn.id;
     this->turns.emplace(
-        std::move(id), Entry { std::make_shared<const ConversationTurn>(std::move(turn)), keepUntil, storedIn, false });
+        std::move(id), Entry { std::make_shared<const ConversationTurn>(std::move(turn)), keepUntil, storedIn });
 }
 
 SharedTurn ConversationTable::find(std::string_view id, TimePoint keepUntil)
@@ -65,10 +65,18 @@
 void ConversationTable::markUnstored(std::string_view id, TimePoint now)
 {
     const auto found = this->turns.find(id);
-    if (found != this->turns.end() && !found->second.isStored)
+    if (found != this->turns.end() && !found->second.isStored && !found->second.isRefused)
         this->unstoredSince.try_emplace(std::string(id), now);
 }
 
+void ConversationTable::markRefused(std::string_view id)
+{
+    if (const auto found = this->turns.find(id); found != this->turns.end())
+        found->second.isRefused = true;
+    if (const auto found = this->unstoredSince.find(id); found != this->unstoredSince.end())
+        this->unstoredSince.erase(found);
+}
+
 bool ConversationTable::isStored(std::string_view id) const
 {
     const auto found = this->turns.find(id);
--- a/src/ingress/budgets.cpp
+++ b/src/ingress/budgets.cpp
@@ -434,7 +434,8 @@
 
 StoreWriter& Ingress::Impl::tokenWriter(StorePartition partition)
 {
-    return this->tokenWriters.get(this->runtime, this->store, StoreTopic::TokenReservations, partition);
+    return this->tokenWriters.get(
+        this->runtime, this->store, this->writerInit(StoreTopic::TokenReservations, partition));
 }
 
 void Ingress::Impl::releaseAllTokens()
--- a/src/ingress/dispatch.cpp
+++ b/src/ingress/dispatch.cpp
@@ -340,11 +340,11 @@
     return this->exchange.write(event.bytes);
 }
 
-std::string_view RequestHandler::exceededStreamLimit() const
+std::string_view RequestHandler::exceededStreamLimit(const StreamEvent& event) const
 {
     // A turn of this size cannot be persisted, so its stream could never be completed.
-    const bool isPersisted = this->route.keepsHistory && !this->request.lastEventId;
-    if (isPersisted && static_cast<std::int64_t>(this->output.size()) > this->ingress->init.maxStoreRecordBytes.value)
+    const auto outputBytes = this->output.size() + event.data.size() + 1;
+    if (this->isPersisted() && !this->ingress->store.checkSize(this->request.id.size(), this->turnBytes + outputBytes))
         return "turn too large to store";
     // Only `maxTokens()` is held for the turn, so that what an endpoint sends beyond it exceeds the program's budget. A
     // program may do so once, by the maximum tokens of one turn; the second term allows for that.
@@ -370,7 +370,7 @@
             co_return AttemptResult::CallerLeft;
         if (const auto* part = std::get_if<BodyArrived>(&*event)) {
             for (const auto& streamEvent : this->splitter.add(part->bytes)) {
-                if (const auto excess = this->exceededStreamLimit(); !excess.empty()) {
+                if (const auto excess = this->exceededStreamLimit(streamEvent); !excess.empty()) {
                     this->abort(excess);
                     co_return AttemptResult::Failed;
                 }
@@ -401,7 +401,7 @@
         this->exchange.startStream({ this->streamHead.status, this->streamHead.headers, {} });
     }
     // The next turn may refer to this one as soon as its response ends, so it has to be persisted before that.
-    if (this->route.keepsHistory && !this->request.lastEventId) {
+    if (this->isPersisted()) {
         ConversationTurn turn { this->request.id, this->request.previousTurn, this->workspace,
             std::move(this->request.body), std::move(this->output), this->program };
         const auto persistDeadline = std::min(this->deadline, RuntimeClock::now() + persistTimeout);
--- a/src/ingress/ingress_p.h
+++ b/src/ingress/ingress_p.h
@@ -247,9 +247,8 @@
 /// One writer for each partition of a topic, created on first use. Thread-safe.
 class PartitionWriters {
 public:
-    /// `onStored` is called for each record once it is stored; only the one of the first call for a partition counts.
-    StoreWriter& get(Runtime& runtime, const MetadataStore& store, StoreTopic topic, StorePartition partition,
-        const std::function<void(const StoreRecord&)>& onStored = nullptr);
+    /// Returns the writer of `init.partition`; only the settings of the first call for a partition count.
+    StoreWriter& get(Runtime& runtime, const MetadataStore& store, StoreWriter::Init init);
     /// Returns the number of records that are not stored yet.
     std::size_t waiting();
 
@@ -471,6 +470,8 @@
 
     // turns.cpp
     void startTurns();
+    /// Returns the settings of a writer for a partition of a topic.
+    StoreWriter::Init writerInit(StoreTopic topic, StorePartition partition);
     StoreWriter& turnWriter(StorePartition partition);
     /// Returns a turn that is in the memory of this instance, and keeps it there at least until `keepUntil`.
     SharedTurn findTurn(std::string_view id, TimePoint keepUntil = {});
@@ -485,6 +486,8 @@
     /// Persists a turn: in the store, or while the store is unavailable at instances of two other failure domains.
     asio::awaitable<PersistResult> persistTurn(asio::any_io_executor executor, ProgramId program, ConversationTurn turn,
         Milliseconds keepFor, TimePoint deadline);
+    /// Returns why the store would not accept a turn to which `furtherBytes` are added; the error names the bound.
+    Status checkTurnSize(const ConversationTurn& turn, std::size_t furtherBytes) const;
     /// Copies a turn to instances of two other failure domains; returns whether both have confirmed it.
     asio::awaitable<bool> copyTurn(
         asio::any_io_executor executor, ProgramId program, const ConversationTurn& turn, Milliseconds keepFor);
--- a/src/ingress/peers.cpp
+++ b/src/ingress/peers.cpp
@@ -276,6 +276,10 @@
     } else if (auto* copy = std::get_if<TurnCopy>(&message)) {
         // The sender may fail before the store is available again, so this instance stores the copy, too.
         const auto partition = this->partitionOf(copy->program);
+        if (const auto accepted = this->checkTurnSize(copy->turn, 0); !accepted) {
+            reply.send(ErrorMessage { accepted.error() });
+            return;
+        }
         // When its queue is full, the writer calls the hook before `write` returns. The copy must then not be
         // confirmed, as nobody would store it.
         const auto refused = std::make_shared<std::atomic<bool>>(false);
--- a/src/ingress/request.cpp
+++ b/src/ingress/request.cpp
@@ -147,10 +147,28 @@
     return false;
 }
 
+bool RequestHandler::isPersisted() const { return this->route.keepsHistory && !this->request.lastEventId; }
+
+bool RequestHandler::checkTurnInput()
+{
+    if (!this->isPersisted())
+        return true;
+    const ConversationTurn turn { this->request.id, this->request.previousTurn, this->workspace, {}, {},
+        this->program };
+    this->turnBytes = encodedTurnBytes(turn) + this->request.body.size();
+    const auto accepted = this->ingress->checkTurnSize(turn, this->request.body.size());
+    // The answer could not be completed, because the turn cannot be persisted.
+    if (!accepted)
+        this->refuse({ ErrorKind::RequestTooLarge, Outcome::NotRun, accepted.error().detail });
+    return accepted.hasValue();
+}
+
 asio::awaitable<bool> RequestHandler::beginTurn()
 {
     this->program = idFromName<ProgramId>(
         this->workspace + "/" + (this->request.program.empty() ? this->request.id : this->request.program));
+    if (!this->checkTurnInput())
+        co_return false;
     const bool continues = this->route.keepsHistory && !this->request.previousTurn.empty();
     const auto isForeign
         = [&](const std::vector<SharedTurn>& turns) { return turns.back()->workspace != this->workspace; };
--- a/src/ingress/request_p.h
+++ b/src/ingress/request_p.h
@@ -54,6 +54,10 @@
     // Each of these refuses the request and returns false if it may not run.
     bool resolveRoute();
     bool authorize();
+    // Whether the request is a turn that later ones may continue.
+    bool isPersisted() const;
+    // Refuses a turn whose input alone is larger than what the store accepts; returns whether it may run.
+    bool checkTurnInput();
     // Loads the history of a turn and obtains tokens for it.
     asio::awaitable<bool> beginTurn();
     asio::awaitable<bool> admitByAllowance();
@@ -72,8 +76,8 @@
     // Sends the request to an endpoint, whose answer arrives as events of the current attempt.
     void startCall(const DispatchChoice& choice);
     bool forwardEvent(const StreamEvent& event);
-    // Returns the limit that another event would exceed; empty when it may be forwarded.
-    std::string_view exceededStreamLimit() const;
+    // Returns the limit that an event would exceed; empty when it may be forwarded.
+    std::string_view exceededStreamLimit(const StreamEvent& event) const;
     // Records that a part of the endpoint's answer exceeds its size limit.
     void recordTooLarge(std::string_view part, ByteCount limit);
     TokenCount tokensPerEvent() const;
@@ -106,6 +110,8 @@
     std::string workspace {};
     std::string service {};
     std::string body {};
+    // Size of the stored turn without its output.
+    std::size_t turnBytes = 0;
     ProgramId program {};
     TimePoint deadline {};
     // Holder of the program; empty when it is this instance.
--- a/src/ingress/turns.cpp
+++ b/src/ingress/turns.cpp
@@ -25,20 +25,27 @@
 // Retention of stored turns that are read before the desired state is known.
 constexpr Seconds defaultRetention { 60 };
 
+// Returns the id of the turn without content that keeps the turn `id` for a program that continues it.
+std::string referenceId(std::string_view id, ProgramId program) { return fmt::format("{}/{:x}", id, program.value); }
+
 } // namespace
 
-StoreWriter& PartitionWriters::get(Runtime& runtime, const MetadataStore& store, StoreTopic topic,
-    StorePartition partition, const std::function<void(const StoreRecord&)>& onStored)
+Status Ingress::Impl::checkTurnSize(const ConversationTurn& turn, std::size_t furtherBytes) const
+{
+    // Another program may continue the turn, whatever its id.
+    constexpr ProgramId longestProgram { std::numeric_limits<std::uint64_t>::max() };
+    auto accepted = this->store.checkSize(referenceId(turn.id, longestProgram).size(), 0);
+    if (accepted)
+        accepted = this->store.checkSize(turn.id.size(), encodedTurnBytes(turn) + furtherBytes);
+    return accepted;
+}
+
+StoreWriter& PartitionWriters::get(Runtime& runtime, const MetadataStore& store, StoreWriter::Init init)
 {
-    return this->writers.with(static_cast<std::uint64_t>(partition.value), [&](Shard& shard) -> StoreWriter& {
-        auto& writer = shard[partition];
-        if (!writer) {
-            StoreWriter::Init init;
-            init.topic = topic;
-            init.partition = partition;
-            init.onStored = onStored;
+    return this->writers.with(static_cast<std::uint64_t>(init.partition.value), [&](Shard& shard) -> StoreWriter& {
+        auto& writer = shard[init.partition];
+        if (!writer)
             writer = std::make_unique<StoreWriter>(runtime, store, std::move(init));
-        }
         return *writer;
     });
 }
@@ -53,14 +60,32 @@
     return records;
 }
 
+StoreWriter::Init Ingress::Impl::writerInit(StoreTopic topic, StorePartition partition)
+{
+    StoreWriter::Init init;
+    init.topic = topic;
+    init.partition = partition;
+    init.maxBatchBytes = std::min(init.maxBatchBytes, static_cast<std::size_t>(this->init.maxStoreCallBytes.value));
+    init.onRefused = [weak = this->weak_from_this()](const StoreRecord&) {
+        if (const auto impl = weak.lock())
+            impl->metrics.count("store_records_refused");
+    };
+    return init;
+}
+
 StoreWriter& Ingress::Impl::turnWriter(StorePartition partition)
 {
-    return this->turnWriters.get(
-        this->runtime, this->store, StoreTopic::Turns, partition, [weak = this->weak_from_this()](const auto& record) {
-            if (const auto impl = weak.lock())
-                impl->turns.with(
-                    hashBytes(record.key), [&](ConversationTable& shard) { shard.markStored(record.key); });
-        });
+    auto init = this->writerInit(StoreTopic::Turns, partition);
+    init.onStored = [weak = this->weak_from_this()](const StoreRecord& record) {
+        if (const auto impl = weak.lock())
+            impl->turns.with(hashBytes(record.key), [&](ConversationTable& shard) { shard.markStored(record.key); });
+    };
+    init.onRefused = [weak = this->weak_from_this(), count = init.onRefused](const StoreRecord& record) {
+        count(record);
+        if (const auto impl = weak.lock())
+            impl->turns.with(hashBytes(record.key), [&](ConversationTable& shard) { shard.markRefused(record.key); });
+    };
+    return this->turnWriters.get(this->runtime, this->store, std::move(init));
 }
 
 SharedTurn Ingress::Impl::findTurn(std::string_view id, TimePoint keepUntil)
@@ -138,9 +163,9 @@
     asio::any_io_executor executor, ProgramId program, ConversationTurn turn, Milliseconds keepFor, TimePoint deadline)
 {
     auto encoded = encodeTurn(turn);
-    if (static_cast<std::int64_t>(encoded.size()) > this->init.maxStoreRecordBytes.value) {
+    if (const auto accepted = this->store.checkSize(turn.id.size(), encoded.size()); !accepted) {
         log(LogLevel::Error, "turn too large to store",
-            { { "request", turn.id }, { "bytes", std::uint64_t { encoded.size() } } });
+            { { "request", turn.id }, { "reason", accepted.error().message() } });
         co_return PersistResult::Dropped;
     }
     this->keepTurnsOfOtherPrograms(turn);
@@ -182,8 +207,7 @@
     newest.erase(own);
     for (const auto& [partition, id] : newest) {
         // A turn without content that continues the other program's turn. Each later turn replaces it.
-        const ConversationTurn reference { fmt::format("{}/{:x}", id, turn.program.value), id, {}, {}, {},
-            turn.program };
+        const ConversationTurn reference { referenceId(id, turn.program), id, {}, {}, {}, turn.program };
         this->turnWriter(partition).write({ reference.id, encodeTurn(reference), {} }, nullptr);
     }
 }
--- a/src/nodes/codec.cpp
+++ b/src/nodes/codec.cpp
@@ -19,6 +19,14 @@
 
 std::string encodeTurn(const ConversationTurn& turn) { return encodeBinary(turn); }
 
+std::size_t encodedTurnBytes(const ConversationTurn& turn)
+{
+    // The encoding of a text is its length, which has a fixed size, and its bytes.
+    static const auto emptyTurnBytes = encodeTurn({}).size();
+    return emptyTurnBytes + turn.id.size() + turn.previous.size() + turn.workspace.size() + turn.input.size()
+        + turn.output.size();
+}
+
 Result<ConversationTurn> decodeTurn(std::string_view bytes) { return decodeBinary<ConversationTurn>(bytes); }
 
 std::string encodeReservation(const TokenReservation& reservation) { return encodeBinary(reservation); }
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -24,12 +24,19 @@
     {
     }
 
-    // Returns false when the record would exceed `maxWaitingBytes`.
+    // Returns false when the record would exceed `maxWaitingBytes`, or is too large for the store.
     bool add(StoreRecord record, StoredHook hook);
     void startAppend();
     // Moves waiting records into the empty batch, as many as one append may carry. The lock must be held.
     void fillBatch();
-    void finishAppend(bool stored);
+    void finishAppend(const Result<Offset>& result);
+    // Returns all records of the batch, which is over. The lock must be held.
+    std::vector<WaitingRecord> takeBatch();
+    // Puts half of the batch back, to find the record that the store refuses. Returns that record once it is alone. The
+    // lock must be held.
+    std::vector<WaitingRecord> narrowRefusedBatch();
+    void reportStored(const std::vector<WaitingRecord>& entries) const;
+    void reportRefused(const std::vector<WaitingRecord>& entries, const Error& error) const;
     void endRetryDelay();
 
     Runtime& runtime;
@@ -40,6 +47,8 @@
     std::vector<WaitingRecord> batch {};
     // Size of the waiting records and of the batch.
     std::size_t waitingBytes = 0;
+    // Maximum number of records in a batch; lower while the record that the store refuses is searched.
+    std::size_t maxBatchRecords = std::numeric_limits<std::size_t>::max();
     bool appending = false;
     // Whether the retry of a failed append is scheduled; a new record does not shorten the delay.
     bool retryScheduled = false;
@@ -50,7 +59,7 @@
 void StoreWriter::Impl::fillBatch()
 {
     std::size_t bytes = 0;
-    while (!this->waiting.empty()) {
+    while (!this->waiting.empty() && this->batch.size() < this->maxBatchRecords) {
         bytes += sizeOf(this->waiting.front().record);
         if (!this->batch.empty() && bytes > this->init.maxBatchBytes)
             break;
@@ -73,21 +82,68 @@
         std::ranges::transform(this->batch, std::back_inserter(records), &WaitingRecord::record);
     }
     this->store.append(this->init.topic, this->init.partition, records,
-        [self = this->shared_from_this()](const Result<Offset>& result) { self->finishAppend(result.hasValue()); });
+        [self = this->shared_from_this()](const Result<Offset>& result) { self->finishAppend(result); });
 }
 
-void StoreWriter::Impl::finishAppend(bool stored)
+std::vector<WaitingRecord> StoreWriter::Impl::takeBatch()
 {
-    std::vector<WaitingRecord> finished;
+    auto finished = std::exchange(this->batch, {});
+    for (const auto& entry : finished)
+        this->waitingBytes -= sizeOf(entry.record);
+    return finished;
+}
+
+std::vector<WaitingRecord> StoreWriter::Impl::narrowRefusedBatch()
+{
+    if (this->batch.size() == 1) {
+        this->maxBatchRecords = std::numeric_limits<std::size_t>::max();
+        return this->takeBatch();
+    }
+    this->maxBatchRecords = this->batch.size() / 2;
+    const auto middle = this->batch.begin() + static_cast<std::ptrdiff_t>(this->maxBatchRecords);
+    this->waiting.insert(this->waiting.begin(), std::move_iterator(middle), std::move_iterator(this->batch.end()));
+    this->batch.erase(middle, this->batch.end());
+    return {};
+}
+
+void StoreWriter::Impl::reportStored(const std::vector<WaitingRecord>& entries) const
+{
+    for (const auto& entry : entries) {
+        if (this->init.onStored)
+            this->init.onStored(entry.record);
+        if (entry.hook)
+            entry.hook(true);
+    }
+}
+
+void StoreWriter::Impl::reportRefused(const std::vector<WaitingRecord>& entries, const Error& error) const
+{
+    for (const auto& entry : entries) {
+        log(LogLevel::Error, "record dropped; the metadata store refuses it",
+            { { "topic", std::int64_t { static_cast<std::uint8_t>(this->init.topic) } },
+                { "partition", this->init.partition.value }, { "key", entry.record.key },
+                { "value_bytes", std::uint64_t { entry.record.value.size() } }, { "reason", error.message() } });
+        if (this->init.onRefused)
+            this->init.onRefused(entry.record);
+        if (entry.hook)
+            entry.hook(false);
+    }
+}
+
+void StoreWriter::Impl::finishAppend(const Result<Offset>& result)
+{
+    const bool isRefused = !result && result.error().kind == ErrorKind::RecordRefused;
+    std::vector<WaitingRecord> stored;
+    std::vector<WaitingRecord> refused;
     Milliseconds delay { 0 };
     {
         const std::scoped_lock lock(this->mutex);
         this->appending = false;
-        if (stored) {
-            finished = std::exchange(this->batch, {});
-            for (const auto& entry : finished)
-                this->waitingBytes -= sizeOf(entry.record);
+        if (result) {
+            stored = this->takeBatch();
             this->retryDelay = Milliseconds(0);
+        } else if (isRefused) {
+            refused = this->narrowRefusedBatch();
         } else {
             // The first retry is immediate: only the connection may have been dead, not the store.
             delay = this->retryDelay;
@@ -96,13 +152,10 @@
                 = std::min(this->init.maxRetryDelay, std::max(this->init.minRetryDelay, this->retryDelay * 2));
         }
     }
-    for (const auto& entry : finished) {
-        if (this->init.onStored)
-            this->init.onStored(entry.record);
-        if (entry.hook)
-            entry.hook(true);
-    }
-    if (stored)
+    this->reportStored(stored);
+    if (isRefused)
+        this->reportRefused(refused, result.error());
+    if (result || isRefused)
         this->startAppend();
     else
         this->runtime.after(delay, [self = this->shared_from_this()] { self->endRetryDelay(); });
@@ -130,6 +183,8 @@
 
 bool StoreWriter::Impl::add(StoreRecord record, StoredHook hook)
 {
+    if (!this->store.accepts(record))
+        return false;
     const std::scoped_lock lock(this->mutex);
     if (this->waitingBytes + sizeOf(record) > this->init.maxWaitingBytes)
         return false;
@@ -151,7 +206,7 @@
     const auto dropped = std::ranges::count_if(
         records, [&](StoreRecord& record) { return !this->impl->add(std::move(record), nullptr); });
     if (dropped > 0)
-        log(LogLevel::Warning, "records for the metadata store dropped; write queue is full",
+        log(LogLevel::Warning, "records for the metadata store dropped; write queue is full, or records too large",
             { { "dropped", std::int64_t { dropped } } });
     this->impl->startAppend();
     return dropped == 0;
--- a/tests/adapter/adapter.cpp
+++ b/tests/adapter/adapter.cpp
@@ -219,7 +219,7 @@
 TEST_CASE("calls of the log carry topic, partition and offset, and a refused append has outcome NotRun")
 {
     FixedTransport transport { { 200, {}, R"({"offset":840,"end":842})" } };
-    const auto store = platform::makeStore(transport.hook());
+    const auto store = platform::makeStore(transport.hook(), { 262'144 });
     Result<Offset> appended = Error {};
     store.append(StoreTopic::Turns, { 3 }, { record("k", "v") }, [&](Result<Offset> result) { appended = result; });
     REQUIRE(appended.value() == Offset { 840 });
@@ -244,6 +244,45 @@
     REQUIRE_FALSE(page);
 }
 
+// Guards against records that pass the check of their size and that the log then refuses, or whose key is cut at the
+// length that its length byte can hold.
+TEST_CASE("a record is accepted exactly when its encoding is within the log's bounds")
+{
+    constexpr std::size_t maxRecordBytes = 1000;
+    constexpr std::size_t lengthBytes = 4;
+    FixedTransport transport { { 200, {}, {} } };
+    const auto store = platform::makeStore(transport.hook(), { maxRecordBytes });
+    for (const std::size_t keyBytes : { 0U, 1U, 17U, 254U, 255U, 256U, 700U }) {
+        for (const std::size_t content : { 0U, 900U, 999U, 1000U, 1001U, 5000U }) {
+            const auto valueBytes = content - std::min(content, keyBytes + 1);
+            const auto encoded
+                = platform::encodeRecords({ record(std::string(keyBytes, 'k'), std::string(valueBytes, 'v')) });
+            const bool isValid = keyBytes <= 255 && encoded.size() - lengthBytes <= maxRecordBytes;
+            INFO("key of " << keyBytes << " bytes, value of " << valueBytes << " bytes");
+            REQUIRE(store.checkSize(keyBytes, valueBytes).hasValue() == isValid);
+        }
+    }
+}
+
+// Guards against an append that is repeated for good although the log refuses it for what it contains, and against one
+// that is given up although it may succeed later.
+TEST_CASE("only the log's refusals of the content of an append are final")
+{
+    FixedTransport transport { { 200, {}, {} } };
+    const auto store = platform::makeStore(transport.hook(), { 262'144 });
+    const auto kindOf = [&](unsigned status) {
+        transport.response = { status, {}, {} };
+        Result<Offset> appended = Offset {};
+        store.append(StoreTopic::Turns, { 3 }, { record("k", "v") }, [&](Result<Offset> result) { appended = result; });
+        return appended.error().kind;
+    };
+    for (const unsigned status : { 400U, 403U, 404U, 413U })
+        REQUIRE(kindOf(status) == ErrorKind::RecordRefused);
+    // No answer, too many calls, a failure of the log, a log that is full until records are deleted.
+    for (const unsigned status : { 0U, 409U, 412U, 429U, 500U, 502U, 503U, 507U })
+        REQUIRE(kindOf(status) == ErrorKind::LogUnavailable);
+}
+
 // Guards against callers whose heads of many short fields keep the process busy: with a search through all headers for
 // each of them, this request would take longer than the test may last.
 TEST_CASE("the time to decode a request does not grow with the square of its headers")
--- a/tests/ingress/fakestore.h
+++ b/tests/ingress/fakestore.h
@@ -30,6 +30,13 @@
         this->appendDelay = delay;
     }
 
+    /// Refuses appends with a record whose key and value have more bytes together.
+    void setMaxRecordBytes(std::size_t bytes)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->maxRecordBytes = bytes;
+    }
+
     void put(StoreTopic topic, StorePartition partition, std::string key, std::string value)
     {
         const std::scoped_lock lock(this->mutex);
@@ -68,6 +75,11 @@
     MetadataStore client()
     {
         MetadataStore store;
+        store.checkSize = [](std::size_t keyBytes, std::size_t valueBytes) {
+            constexpr std::size_t maxBytes = 262'144;
+            return keyBytes + valueBytes > maxBytes ? Status(Error { ErrorKind::RecordRefused, Outcome::NotRun })
+                                                    : Status(std::monostate {});
+        };
         store.append
             = [this](StoreTopic topic, StorePartition partition, const std::vector<StoreRecord>& records,
                   MetadataStore::AppendHook hook) { this->append(topic, partition, records, std::move(hook)); };
@@ -115,6 +127,12 @@
         const std::scoped_lock lock(this->mutex);
         if (this->isUnavailable(hook))
             return;
+        const bool isTooLarge = std::ranges::any_of(records,
+            [&](const StoreRecord& record) { return record.key.size() + record.value.size() > this->maxRecordBytes; });
+        if (isTooLarge) {
+            this->runtime.post([hook = std::move(hook)] { hook(Error { ErrorKind::RecordRefused, Outcome::NotRun }); });
+            return;
+        }
         const Offset first { this->logs[{ topic, partition }].records.size() };
         for (const auto& record : records)
             this->addRecord(topic, partition, record);
@@ -161,6 +179,7 @@
     std::mutex mutex;
     Mode mode = Mode::Serving;
     Milliseconds appendDelay { 0 };
+    std::size_t maxRecordBytes = std::numeric_limits<std::size_t>::max();
     std::map<Place, Log> logs;
 };
 
--- a/tests/ingress/turns.cpp
+++ b/tests/ingress/turns.cpp
@@ -202,3 +202,84 @@
     REQUIRE((last == 402 || last == 503));
     REQUIRE(endpoint.requests().size() == static_cast<std::size_t>(served));
 }
+
+// Guards against turns of other workspaces that are answered and lost at the next restart, because a turn that the
+// store refuses for good is appended again and again before them.
+TEST_CASE("a turn that the store refuses keeps no other turn out of the store")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    constexpr std::size_t maxRecordBytes = 2000;
+    deployment.fakeStore.setMaxRecordBytes(maxRecordBytes);
+    const auto ingress = deployment.startReady("n1");
+    // The instance does not know this bound; the answer must not look complete, as the turn is not kept.
+    const auto [result, response] = deployment.send(*ingress, turn("/t/x", "large", std::string(maxRecordBytes, 'x')));
+    REQUIRE(result.error != ErrorKind::None);
+    for (const auto* id : { "t1", "t2" }) {
+        auto other = turn("/t/x", id, "one|");
+        other.headers[3].value = "Bearer key-2";
+        const auto answer = deployment.send(*ingress, other);
+        REQUIRE(answer.first.error == ErrorKind::None);
+        REQUIRE(answer.second.status == 200);
+        REQUIRE(deployment.fakeStore.contains(StoreTopic::Turns, id));
+    }
+}
+
+namespace {
+
+// Returns a store client that accepts records whose key has at most `maxKeyBytes` and whose key and value have at most
+// `maxRecordBytes` together.
+MetadataStore boundedClient(Deployment& deployment, std::size_t maxKeyBytes, std::size_t maxRecordBytes)
+{
+    auto client = deployment.fakeStore.client();
+    client.checkSize = [=](std::size_t keyBytes, std::size_t valueBytes) {
+        const bool fits = keyBytes <= maxKeyBytes && keyBytes + valueBytes <= maxRecordBytes;
+        return fits ? Status(std::monostate {}) : Status(Error { ErrorKind::RecordRefused, Outcome::NotRun });
+    };
+    return client;
+}
+
+} // namespace
+
+// Guards against a turn that runs, uses up tokens and is then cut off, although its input alone shows that the store
+// cannot take it; and against one that is kept under a part of its id.
+TEST_CASE("a turn whose input or id exceeds what the store accepts is refused before it runs")
+{
+    Deployment deployment;
+    auto& endpoint = deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    constexpr std::size_t maxRecordBytes = 2000;
+    deployment.storeClient = [&] { return boundedClient(deployment, 255, maxRecordBytes); };
+    const auto ingress = deployment.startReady("n1");
+    REQUIRE(deployment.send(*ingress, turn("/t/x", "large", std::string(maxRecordBytes, 'x'))).second.status == 413);
+    REQUIRE(deployment.send(*ingress, turn("/t/x", std::string(250, 'i'), "one|")).second.status == 413);
+    REQUIRE(endpoint.requests().empty());
+    // A request that is not kept has no such bound.
+    REQUIRE(deployment.send(*ingress, turn("/p/x", "plain", std::string(maxRecordBytes, 'x'))).second.status == 200);
+    REQUIRE(deployment.send(*ingress, turn("/t/x", "small", "one|")).second.status == 200);
+}
+
+// Guards against a turn that passes the check of its size and is refused by the store, because the check leaves out a
+// part of the record.
+TEST_CASE("the largest turn that the store accepts is kept, and one that is a byte larger does not look complete")
+{
+    Deployment deployment;
+    deployment.addEndpoint("i-1", "engines", threeEvents);
+    deployment.publish(1);
+    constexpr std::size_t maxRecordBytes = 2000;
+    deployment.storeClient = [&] { return boundedClient(deployment, 255, maxRecordBytes); };
+    deployment.fakeStore.setMaxRecordBytes(maxRecordBytes);
+    const auto ingress = deployment.startReady("n1");
+    const std::string id = "t1";
+    const ConversationTurn shortTurn { id, "", "w", "", "d1\nd2\nd3\n", ProgramId { 1 } };
+    const auto inputBytes = maxRecordBytes - id.size() - encodedTurnBytes(shortTurn);
+    REQUIRE(encodedTurnBytes(shortTurn) == encodeTurn(shortTurn).size());
+    const auto [result, response] = deployment.send(*ingress, turn("/t/x", id, std::string(inputBytes, 'x')));
+    REQUIRE(result.error == ErrorKind::None);
+    REQUIRE(response.status == 200);
+    REQUIRE(deployment.fakeStore.contains(StoreTopic::Turns, id));
+    const auto tooLarge = deployment.send(*ingress, turn("/t/x", "t2", std::string(inputBytes + 1, 'x')));
+    REQUIRE(tooLarge.first.error != ErrorKind::None);
+    REQUIRE_FALSE(deployment.fakeStore.contains(StoreTopic::Turns, "t2"));
+}
--- a/tests/store/store.cpp
+++ b/tests/store/store.cpp
@@ -319,3 +319,54 @@
     writer.write({ "k", std::string(200, 'x'), {} }, [&](bool done) { refused.set_value(!done); });
     REQUIRE(refused.get_future().get());
 }
+
+// Guards against one record that the store never accepts and that keeps all later records of its partition out of the
+// store: the writer repeated the append with it for good.
+TEST_CASE("a record that the store refuses is dropped alone, and the others are stored")
+{
+    Fixture fixture;
+    constexpr int count = 40;
+    const std::set<int> tooLarge { 0, 13, 14, count - 1 };
+    fixture.fake.setMaxRecordBytes(100);
+    fixture.fake.setMode(FakeStore::Mode::Refusing);
+    std::atomic<int> refusals = 0;
+    StoreWriter::Init init;
+    init.onRefused = [&](const StoreRecord&) { ++refusals; };
+    StoreWriter writer(fixture.runtime, fixture.store, init);
+    std::atomic<int> stored = 0;
+    std::atomic<int> rejected = 0;
+    for (int index = 0; index < count; ++index)
+        writer.write({ std::to_string(index), std::string(tooLarge.contains(index) ? 200 : 10, 'x'), {} },
+            [&](bool done) { ++(done ? stored : rejected); });
+    // The records wait for one append, which the store refuses as a whole.
+    fixture.fake.setMode(FakeStore::Mode::Serving);
+    REQUIRE(eventually([&] { return writer.waiting() == 0; }));
+    REQUIRE(eventually([&] { return stored + rejected == count; }));
+    REQUIRE(rejected == static_cast<int>(tooLarge.size()));
+    REQUIRE(refusals == rejected);
+    REQUIRE(fixture.fake.keyCount(StoreTopic::Turns) == static_cast<std::size_t>(stored));
+    // Later records are appended together again.
+    for (int index = 0; index < count; ++index)
+        writer.write({ "later" + std::to_string(index), "v", {} }, nullptr);
+    REQUIRE(eventually([&] { return writer.waiting() == 0; }));
+    REQUIRE(fixture.fake.keyCount(StoreTopic::Turns) == static_cast<std::size_t>(stored + count));
+}
+
+// Guards against a record that waits behind others for an append that can only be refused.
+TEST_CASE("a writer rejects a record whose size the store does not accept before any append")
+{
+    Fixture fixture;
+    MetadataStore bounded = fixture.store;
+    bounded.checkSize = [](std::size_t keyBytes, std::size_t valueBytes) {
+        return keyBytes + valueBytes > 100 ? Status(Error { ErrorKind::RecordRefused, Outcome::NotRun })
+                                           : Status(std::monostate {});
+    };
+    StoreWriter writer(fixture.runtime, bounded, {});
+    std::promise<bool> refused;
+    writer.write({ "k", std::string(100, 'x'), {} }, [&](bool done) { refused.set_value(!done); });
+    REQUIRE(refused.get_future().get());
+    REQUIRE_FALSE(writer.write({ { "a", std::string(100, 'x'), {} }, { "b", std::string(99, 'x'), {} } }));
+    REQUIRE(eventually([&] { return writer.waiting() == 0; }));
+    REQUIRE(fixture.fake.contains(StoreTopic::Turns, "b"));
+    REQUIRE(fixture.fake.keyCount(StoreTopic::Turns) == 1);
+}
--- a/tools/peridot-ingress/main.cpp
+++ b/tools/peridot-ingress/main.cpp
@@ -46,7 +46,8 @@
 void serve(const IngressInit& init, const std::string& file)
 {
     Runtime runtime({ init.threads });
-    Ingress ingress(runtime, init, platform::formats(), platform::makeStore);
+    Ingress ingress(runtime, init, platform::formats(),
+        [&init](const StoreTransport& transport) { return platform::makeStore(transport, init.maxStoreRecordBytes); });
     ingress.start();
     watchSettings(runtime, ingress, file);
     runtime.onSignals({ SIGTERM, SIGINT }, [&](int signal) {
