Send nothing to an endpoint after an answer says that it is leaving

Cause: only the endpoint's record told an instance that it leaves; nothing read the header of its answers.

Change: the decoded head of an answer has the field. The endpoint directory remembers it for the start of the chosen endpoint, apart from the record, which may be out of date, expire and return, or never say so, and does not choose the endpoint until a record shows a later start.

--- a/include/peridotramp/dispatch.h
+++ b/include/peridotramp/dispatch.h
@@ -65,6 +65,8 @@
     std::string domain;
     /// Tokens of the prompt that the endpoint is expected to have cached.
     TokenCount cached;
+    /// Start of the endpoint as its record states it.
+    std::int64_t startedAt = 0;
 };
 
 /// How a dispatched request ended at its endpoint.
@@ -188,6 +190,10 @@
     /// Chooses the eligible endpoint with the lowest cost, an endpoint within `failurePause` of a failure only when
     /// there is no other. Empty when no endpoint is eligible now.
     std::optional<DispatchChoice> choose(const DispatchRequest& request, TimePoint now);
+    /// Notes that an answer of a chosen endpoint says that the endpoint is leaving. It is not chosen again until a
+    /// record shows a later start: its record may be out of date, expire and return, or never say so. Returns whether
+    /// this was not known.
+    bool markLeaving(const DispatchChoice& choice, TimePoint now);
     void finish(
         const DispatchChoice& choice, DispatchResult result, const std::vector<PromptPart>& prompt, TimePoint now);
     /// Takes the outstanding requests of the whole fleet, sorted by endpoint, including those that this instance
@@ -218,6 +224,12 @@
         // Objects and when this instance last sent a request for them to the endpoint.
         std::map<ObjectId, TimePoint> objects;
     };
+    /// What an endpoint's answer has said about its leaving.
+    struct LeavingMark {
+        /// Start of the endpoint that leaves.
+        std::int64_t startedAt = 0;
+        TimePoint at {};
+    };
     struct ServiceSettings {
         std::int32_t maxConnections = 0;
         double coldRate = 0;
@@ -225,6 +237,7 @@
     };
 
     bool isEligible(Endpoint& endpoint, const DispatchRequest& request, TimePoint now);
+    bool isLeaving(const EndpointRecord& record) const;
     bool coldRateAllows(Endpoint& endpoint, TimePoint now);
     TokenCount cachedTokens(const Endpoint& endpoint, const std::vector<PromptPart>& prompt, TimePoint now) const;
     bool handledRecently(const Endpoint& endpoint, ObjectId object, TimePoint now) const;
@@ -234,6 +247,8 @@
 
     Init init;
     std::map<std::string, Endpoint, std::less<>> endpoints;
+    // By name; outlives the endpoint's record, which may expire and return.
+    std::map<std::string, LeavingMark, std::less<>> leaving;
     std::map<std::string, ServiceSettings, std::less<>> services;
     std::function<double(std::string_view, double)> coldShare = [](std::string_view, double) { return 0.0; };
     double connectionShare = 1;
--- a/include/peridotramp/ingress.h
+++ b/include/peridotramp/ingress.h
@@ -55,6 +55,8 @@
     bool notRun = false;
     /// Whether an endpoint of another name answered, because it has taken over the address.
     bool wrongInstance = false;
+    /// Whether the endpoint states that it is about to exit and takes no further requests.
+    bool leaving = false;
     bool eventStream = false;
     /// Headers to forward to the caller.
     std::vector<HttpHeader> headers;
--- a/src/decisions/dispatch/dispatch.cpp
+++ b/src/decisions/dispatch/dispatch.cpp
@@ -12,6 +12,8 @@
 constexpr double failureHalfLifeSeconds = 2;
 // Time after the metadata store's return within which expired records are renewed.
 constexpr Milliseconds recordRenewalTime { 2200 };
+// Time for which it is remembered that an endpoint is leaving; it exits much sooner.
+constexpr std::chrono::hours leavingMarkLifetime { 1 };
 
 double decayed(double value, Duration age)
 {
@@ -143,7 +145,9 @@
 bool EndpointDirectory::isEligible(Endpoint& endpoint, const DispatchRequest& request, TimePoint now)
 {
     const auto& record = endpoint.record;
-    if (record.service != request.service || record.draining || !request.domainAllowed(record.domain))
+    if (record.service != request.service || record.draining || this->isLeaving(record))
+        return false;
+    if (!request.domainAllowed(record.domain))
         return false;
     if (std::ranges::find(request.excluded, record.name) != request.excluded.end())
         return false;
@@ -223,7 +227,7 @@
     if (!best)
         return std::nullopt;
     DispatchChoice choice { best->record.name, best->record.address, best->record.domain,
-        this->cachedTokens(*best, request.prompt, now) };
+        this->cachedTokens(*best, request.prompt, now), best->record.startedAt };
     ++best->outstanding;
     best->lastChoice = this->choices;
     if (now < best->coldUntil)
@@ -235,6 +239,22 @@
     return choice;
 }
 
+bool EndpointDirectory::isLeaving(const EndpointRecord& record) const
+{
+    const auto mark = this->leaving.find(record.name);
+    return mark != this->leaving.end() && record.startedAt <= mark->second.startedAt;
+}
+
+bool EndpointDirectory::markLeaving(const DispatchChoice& choice, TimePoint now)
+{
+    std::erase_if(this->leaving, [&](const auto& entry) { return entry.second.at + leavingMarkLifetime < now; });
+    const auto [mark, added] = this->leaving.try_emplace(choice.name, LeavingMark { choice.startedAt, now });
+    const bool isNew = added || mark->second.startedAt < choice.startedAt;
+    if (isNew)
+        mark->second = { choice.startedAt, now };
+    return isNew;
+}
+
 void EndpointDirectory::finish(
     const DispatchChoice& choice, DispatchResult result, const std::vector<PromptPart>& prompt, TimePoint now)
 {
--- a/src/ingress/dispatch.cpp
+++ b/src/ingress/dispatch.cpp
@@ -238,6 +238,19 @@
     });
 }
 
+void RequestHandler::markLeaving(const DispatchChoice& choice)
+{
+    const bool isNew = this->ingress->directories.with(
+        hashBytes(this->service), [&](const std::unique_ptr<EndpointDirectory>& directory) {
+            return directory->markLeaving(choice, RuntimeClock::now());
+        });
+    if (!isNew)
+        return;
+    this->ingress->metrics.count("endpoints_leaving");
+    log(LogLevel::Info, "endpoint says that it is leaving",
+        { { "endpoint", choice.name }, { "request", this->request.id }, { "service", this->service } });
+}
+
 asio::awaitable<AttemptResult> RequestHandler::relay(const DispatchChoice& choice, TimePoint until)
 {
     const auto first = co_await this->nextEvent(until);
@@ -264,6 +277,8 @@
         co_return AttemptResult::Failed;
     }
     auto head = arrived->head;
+    if (head.leaving)
+        this->markLeaving(choice);
     if (head.notRun) {
         this->outcome.detail = head.wrongInstance ? "wrong instance" : "refused";
         co_return AttemptResult::NotRun;
--- a/src/ingress/request_p.h
+++ b/src/ingress/request_p.h
@@ -67,6 +67,8 @@
     asio::awaitable<bool> waitForEndpoint(Error error);
     DispatchRequest dispatchRequest() const;
     asio::awaitable<AttemptResult> attempt(DispatchChoice choice);
+    // Has no further request sent to an endpoint whose answer says that it is leaving.
+    void markLeaving(const DispatchChoice& choice);
     // Ends the current choice in the endpoint directory.
     void finishChoice(DispatchResult result);
     asio::awaitable<AttemptResult> relay(const DispatchChoice& choice, TimePoint deadline);
--- a/tests/adapter/adapter.cpp
+++ b/tests/adapter/adapter.cpp
@@ -120,6 +120,19 @@
     REQUIRE(head.headers.size() == 2);
 }
 
+// Guards against an endpoint that is taken out of service by what another one says that has its address now.
+TEST_CASE("the head of an endpoint's response shows whether the endpoint is leaving")
+{
+    const auto isLeaving = [](unsigned status, const std::string& value) {
+        return formats.decodeEndpointHead({ status, { { "server-leaving", value } }, {} }).leaving;
+    };
+    REQUIRE(isLeaving(200, "1"));
+    REQUIRE(isLeaving(503, "1"));
+    REQUIRE_FALSE(isLeaving(200, "0"));
+    REQUIRE_FALSE(isLeaving(421, "1"));
+    REQUIRE_FALSE(formats.decodeEndpointHead({ 200, {}, {} }).leaving);
+}
+
 TEST_CASE("a desired state is decoded, and unknown fields are ignored")
 {
     const auto decoded = formats.decodeOperator(record("config",
--- a/tests/dispatch/dispatch.cpp
+++ b/tests/dispatch/dispatch.cpp
@@ -84,6 +84,39 @@
 }
 
 // Guards against overloading a cold endpoint: its rate applies to every second.
+// Guards against requests to an endpoint that is about to exit: while the store is unavailable, or when the endpoint
+// never reports that it drains, its record does not tell.
+TEST_CASE("an endpoint whose answer says that it is leaving is not chosen again")
+{
+    auto directory = directoryOf({ record("x", "a") });
+    const auto choice = directory.choose(request(), start);
+    REQUIRE(choice);
+    directory.finish(*choice, DispatchResult::Served, {}, start);
+    REQUIRE(directory.markLeaving(*choice, start));
+    REQUIRE_FALSE(directory.markLeaving(*choice, start));
+    REQUIRE_FALSE(directory.choose(request(), start));
+    SECTION("whatever later records of the same start say")
+    {
+        directory.apply(record("x", "a", 2), start + Seconds(1));
+        REQUIRE_FALSE(directory.choose(request(), start + Seconds(1)));
+    }
+    SECTION("also when its record expires and returns")
+    {
+        directory.remove("x");
+        directory.apply(record("x", "a", 3), start + Seconds(5));
+        REQUIRE_FALSE(directory.choose(request(), start + Seconds(5)));
+    }
+    SECTION("until it has started again, after which late answers of the earlier start count no more")
+    {
+        auto restarted = record("x", "a", 1);
+        restarted.startedAt += 5;
+        directory.apply(restarted, start + Seconds(5));
+        REQUIRE(directory.choose(request(), start + Seconds(5)));
+        REQUIRE_FALSE(directory.markLeaving(*choice, start + Seconds(5)));
+        REQUIRE(directory.choose(request(), start + Seconds(5)));
+    }
+}
+
 TEST_CASE("requests to a cold endpoint stay within its rate")
 {
     auto cold = record("x", "a");
--- a/tests/ingress/calls.cpp
+++ b/tests/ingress/calls.cpp
@@ -267,3 +267,36 @@
     REQUIRE(served >= 20);
     REQUIRE(endpoint.requests().size() == served);
 }
+
+// Guards against calls that an endpoint's exit cuts off although its answers have said for seconds that it is leaving:
+// while the store does not answer, nothing else tells.
+TEST_CASE("no request is sent to an endpoint after an answer has said that it is leaving")
+{
+    Deployment deployment;
+    std::atomic<bool> leaves = false;
+    const auto answer = [&](const HttpRequest& request, const HttpExchange& exchange) {
+        auto headers = answerHeaders(request);
+        if (leaves)
+            headers.push_back({ "Server-Leaving", "1" });
+        exchange.respond({ 200, std::move(headers), "done" });
+    };
+    auto& leaving = deployment.addEndpoint("i-1", "desk", answer);
+    auto& other = deployment.addEndpoint("i-2", "desk", answerOk);
+    deployment.publish(1);
+    const auto ingress = deployment.startReady("n1");
+    int requests = 0;
+    const auto send = [&] {
+        const auto id = "q" + std::to_string(++requests);
+        return deployment.send(*ingress, Deployment::request("POST", "/w/x", id)).second;
+    };
+    REQUIRE(eventually([&] { return send().status == 200; }));
+    deployment.fakeStore.setMode(FakeStore::Mode::Silent);
+    leaves = true;
+    // The answer that says so is passed on, with its header.
+    REQUIRE(eventually([&] { return deployment.formats.decodeEndpointHead(send()).leaving; }));
+    const auto before = leaving.requests().size();
+    for (int index = 0; index < 40; ++index)
+        REQUIRE(send().status == 200);
+    REQUIRE(leaving.requests().size() == before);
+    REQUIRE(other.requests().size() >= 40);
+}
