--- a/tests/confirmation/reservations.cpp
+++ b/tests/confirmation/reservations.cpp
@@ -139,6 +139,11 @@
     {
         requireBudgetKept({ .rules = fixed, .faults = { .cuts = 1, .storeOutages = 1 } });
     }
+    SECTION("a cut and the kill of one") { requireBudgetKept({ .rules = fixed, .faults = { .cuts = 1, .kills = 1 } }); }
+    SECTION("a cut and a late append")
+    {
+        requireBudgetKept({ .rules = fixed, .faults = { .cuts = 1, .lateAppends = 1 } });
+    }
     SECTION("an outage and a kill")
     {
         requireBudgetKept({ .rules = fixed, .faults = { .storeOutages = 1, .kills = 1 } });
