Let the batches of a writer grow again after a refused append

Cause: while it searched the record that the store refuses, a writer lowered the number of records of a batch and raised it again only when that record was found. After a call that was refused only for its size, it would have appended a few records at a time for good; seen by reading.

Change: each stored batch doubles the number.

Result: the new test of test-store appends 184 records in fewer than 100 calls after a store that took one record a call; without the change it needs one call for each.

--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -11,6 +11,8 @@
     StoreWriter::StoredHook hook;
 };
 
+constexpr auto unlimitedRecords = std::numeric_limits<std::size_t>::max();
+
 std::size_t sizeOf(const StoreRecord& record) { return record.key.size() + record.value.size(); }
 
 } // namespace
@@ -47,8 +49,8 @@
     std::vector<WaitingRecord> batch {};
     // Size of the waiting records and of the batch.
     std::size_t waitingBytes = 0;
-    // Maximum number of records in a batch; lower while the record that the store refuses is searched.
-    std::size_t maxBatchRecords = std::numeric_limits<std::size_t>::max();
+    // Maximum number of records in a batch; lower after the store has refused one, until it has accepted others.
+    std::size_t maxBatchRecords = unlimitedRecords;
     bool appending = false;
     // Whether the retry of a failed append is scheduled; a new record does not shorten the delay.
     bool retryScheduled = false;
@@ -96,7 +98,7 @@
 std::vector<WaitingRecord> StoreWriter::Impl::narrowRefusedBatch()
 {
     if (this->batch.size() == 1) {
-        this->maxBatchRecords = std::numeric_limits<std::size_t>::max();
+        this->maxBatchRecords = unlimitedRecords;
         return this->takeBatch();
     }
     this->maxBatchRecords = this->batch.size() / 2;
@@ -142,6 +144,8 @@
         if (result) {
             stored = this->takeBatch();
             this->retryDelay = Milliseconds(0);
+            if (this->maxBatchRecords < unlimitedRecords / 2)
+                this->maxBatchRecords *= 2;
         } else if (isRefused) {
             refused = this->narrowRefusedBatch();
         } else {
--- a/tests/store/store.cpp
+++ b/tests/store/store.cpp
@@ -352,6 +352,39 @@
     REQUIRE(fixture.fake.keyCount(StoreTopic::Turns) == static_cast<std::size_t>(stored + count));
 }
 
+// Guards against a writer that appends one record at a time for good after the store has refused a call only for its
+// size.
+TEST_CASE("a writer appends more records together again after the store has refused a large call")
+{
+    Fixture fixture;
+    std::atomic<std::size_t> maxRecordsPerCall = 1;
+    constexpr int count = 200;
+    MetadataStore refusing = fixture.store;
+    std::atomic<int> appends = 0;
+    refusing.append = [&](StoreTopic topic, StorePartition partition, const std::vector<StoreRecord>& records,
+                          MetadataStore::AppendHook hook) {
+        ++appends;
+        if (records.size() > maxRecordsPerCall)
+            hook(Error { ErrorKind::RecordRefused, Outcome::NotRun });
+        else
+            fixture.store.append(topic, partition, records, std::move(hook));
+    };
+    StoreWriter writer(fixture.runtime, refusing, {});
+    const auto writeTogether = [&](int from, int to) {
+        fixture.fake.setMode(FakeStore::Mode::Refusing);
+        for (int index = from; index < to; ++index)
+            writer.write({ std::to_string(index), "v", {} }, nullptr);
+        fixture.fake.setMode(FakeStore::Mode::Serving);
+        REQUIRE(eventually([&] { return writer.waiting() == 0; }));
+    };
+    writeTogether(0, 16);
+    maxRecordsPerCall = count;
+    appends = 0;
+    writeTogether(16, count);
+    REQUIRE(fixture.fake.keyCount(StoreTopic::Turns) == count);
+    REQUIRE(appends < count / 2);
+}
+
 // Guards against a record that waits behind others for an append that can only be refused.
 TEST_CASE("a writer rejects a record whose size the store does not accept before any append")
 {
